--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+GO ?= go
+LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
+
+.PHONY: run build test unit race lint format events generate bench measure capacity
+
+run: ## start the whole system in one process on loopback
+	$(GO) run ./cmd/waxwing-dev
+
+build:
+	$(GO) build ./...
+
+test: lint build unit ## the whole check; .ci/run calls exactly this
+
+unit:
+	$(GO) test -count=1 -timeout 20m ./...
+
+race:
+	$(GO) test -count=1 -race -timeout 30m ./...
+
+lint:
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+format:
+	$(LINT) fmt
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,149 @@
+// Package engine runs systems over tables: it applies the events of a bounded
+// inbox, runs the systems in their listed order, hands the outbound effects to
+// I/O and sleeps until the next event or deadline.
+//
+// One goroutine executes a Loop and owns its state; nothing else may touch the
+// tables. Systems are deterministic and read the time only from their Tick.
+package engine
+
+import (
+	"context"
+	"time"
+)
+
+// Tick is the moment at which systems run. Now is read once for all of them.
+type Tick struct {
+	Now time.Time
+	Seq uint64
+}
+
+// System is one named step of a tick.
+type System[S any] struct {
+	Name string
+	Run  func(*S, Tick)
+}
+
+// Program describes what a Loop does with a state of type S and events of type E.
+type Program[S, E any] struct {
+	// Apply records one event in the tables.
+	Apply func(*S, Tick, E)
+	// Systems run in this order in each tick.
+	Systems []System[S]
+	// Flush hands outbound effects to I/O goroutines and publishes snapshots.
+	// It must not block.
+	Flush func(*S, Tick)
+	// NextDeadline returns the moment of the next tick that is due without an
+	// event. The zero time means none.
+	NextDeadline func(*S) time.Time
+}
+
+// Step runs one tick with the given events. Tests call it with a fake time.
+func (p *Program[S, E]) Step(state *S, tick Tick, events ...E) {
+	for _, event := range events {
+		p.Apply(state, tick, event)
+	}
+	p.RunSystems(state, tick)
+}
+
+// RunSystems runs the systems and the flush without applying events.
+func (p *Program[S, E]) RunSystems(state *S, tick Tick) {
+	for i := range p.Systems {
+		p.Systems[i].Run(state, tick)
+	}
+	if p.Flush != nil {
+		p.Flush(state, tick)
+	}
+}
+
+// maxEventsPerTick bounds the work between two runs of the systems, so that a
+// full inbox does not delay deadlines.
+const maxEventsPerTick = 1024
+
+// Loop executes a Program on one goroutine.
+type Loop[S, E any] struct {
+	program Program[S, E]
+	state   *S
+	inbox   chan E
+	now     func() time.Time
+	seq     uint64
+}
+
+// NewLoop creates a loop whose inbox holds at most inboxSize events.
+func NewLoop[S, E any](program Program[S, E], state *S, inboxSize int) *Loop[S, E] {
+	return &Loop[S, E]{program: program, state: state, inbox: make(chan E, inboxSize), now: time.Now}
+}
+
+// Post delivers an event and waits while the inbox is full. It returns the
+// context's error if the context ends first; the event is then not delivered.
+func (l *Loop[S, E]) Post(ctx context.Context, event E) error {
+	select {
+	case l.inbox <- event:
+		return nil
+	default:
+	}
+	select {
+	case l.inbox <- event:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TryPost delivers an event and reports false if the inbox is full.
+func (l *Loop[S, E]) TryPost(event E) bool {
+	select {
+	case l.inbox <- event:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run executes ticks until the context ends. It runs a first tick at once, so
+// that systems can start periodic work.
+func (l *Loop[S, E]) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-l.inbox:
+			l.tick(event, true)
+		case <-timer.C:
+			var none E
+			l.tick(none, false)
+		}
+		l.arm(timer)
+	}
+}
+
+func (l *Loop[S, E]) tick(first E, hasEvent bool) {
+	l.seq++
+	tick := Tick{Now: l.now(), Seq: l.seq}
+	if hasEvent {
+		l.program.Apply(l.state, tick, first)
+		l.applyWaiting(tick)
+	}
+	l.program.RunSystems(l.state, tick)
+}
+
+func (l *Loop[S, E]) applyWaiting(tick Tick) {
+	for range maxEventsPerTick - 1 {
+		select {
+		case event := <-l.inbox:
+			l.program.Apply(l.state, tick, event)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Loop[S, E]) arm(timer *time.Timer) {
+	deadline := l.program.NextDeadline(l.state)
+	if deadline.IsZero() {
+		timer.Stop()
+		return
+	}
+	timer.Reset(max(0, deadline.Sub(l.now())))
+}
--- /dev/null
+++ b/engine/engine_test.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+type counterState struct {
+	sum      int
+	order    []string
+	ticks    int
+	deadline time.Time
+}
+
+func counterProgram(done chan<- int) Program[counterState, int] {
+	return Program[counterState, int]{
+		Apply: func(s *counterState, _ Tick, event int) { s.sum += event },
+		Systems: []System[counterState]{
+			{Name: "first", Run: func(s *counterState, _ Tick) { s.order = append(s.order, "first") }},
+			{Name: "second", Run: func(s *counterState, _ Tick) { s.order = append(s.order, "second") }},
+		},
+		Flush: func(s *counterState, _ Tick) {
+			s.ticks++
+			if s.sum == 6 && done != nil {
+				done <- s.ticks
+				s.sum = 0
+			}
+		},
+		NextDeadline: func(s *counterState) time.Time { return s.deadline },
+	}
+}
+
+// Guards against systems that run before the events of the tick or out of order.
+func TestStepAppliesEventsThenSystemsInOrder(t *testing.T) {
+	program := counterProgram(nil)
+	state := &counterState{}
+	program.Step(state, Tick{Now: time.Unix(0, 0), Seq: 1}, 1, 2, 3)
+	if state.sum != 6 || len(state.order) != 2 || state.order[0] != "first" {
+		t.Fatalf("state after step = %+v", state)
+	}
+}
+
+// Guards against lost events and against a loop that spins without deadline.
+func TestLoopDeliversPostedEventsAndSleeps(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	done := make(chan int, 1)
+	loop := NewLoop(counterProgram(done), &counterState{}, 4)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); loop.Run(ctx) }()
+	for event := 1; event <= 3; event++ {
+		if err := loop.Post(ctx, event); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if ticks := <-done; ticks > 4 {
+		t.Errorf("%d ticks for 3 events and the first tick", ticks)
+	}
+	cancel()
+	<-stopped
+}
+
+// Guards against a caller that blocks forever on a full inbox after shutdown.
+func TestPostReturnsWhenContextEnds(t *testing.T) {
+	loop := NewLoop(counterProgram(nil), &counterState{}, 1)
+	if !loop.TryPost(1) || loop.TryPost(2) {
+		t.Fatal("inbox of size 1 must take exactly one event")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := loop.Post(ctx, 2); err == nil {
+		t.Fatal("Post on a full inbox with an ended context returned no error")
+	}
+}
--- /dev/null
+++ b/events/catalogue.go
@@ -0,0 +1,104 @@
+package events
+
+import "github.com/phuslu/log"
+
+// Process events (100-199).
+var (
+	ProcessStarted  = Event{100, log.InfoLevel, "process started"}
+	ProcessStopping = Event{101, log.InfoLevel, "process is shutting down"}
+	ProcessStopped  = Event{102, log.InfoLevel, "process stopped"}
+	ProcessReady    = Event{103, log.InfoLevel, "process is ready"}
+	ServerFailed    = Event{104, log.ErrorLevel, "network server failed"}
+	ShutdownTimeout = Event{105, log.WarnLevel, "shutdown timeout passed with requests in flight"}
+	InvariantBroken = Event{199, log.ErrorLevel, "broken invariant"}
+)
+
+// Store events (200-299).
+var (
+	StoreUnavailable    = Event{200, log.WarnLevel, "store is unavailable"}
+	StoreAvailable      = Event{201, log.InfoLevel, "store is available again"}
+	StoreWatchLost      = Event{202, log.WarnLevel, "store watch was lost"}
+	StoreWriteUnknown   = Event{203, log.WarnLevel, "result of a store write is unknown"}
+	StoreWriteConflict  = Event{204, log.WarnLevel, "store write lost against another writer"}
+	StoreBudgetUsedUp   = Event{205, log.WarnLevel, "store call budget is used up"}
+	ProcessLeaseLost    = Event{206, log.WarnLevel, "store lease of the process lapsed"}
+	ProcessLeaseGranted = Event{207, log.InfoLevel, "store lease of the process was granted"}
+	StoreValueInvalid   = Event{208, log.ErrorLevel, "store value cannot be decoded"}
+)
+
+// Configuration events (300-399).
+var (
+	ConfigInForce  = Event{300, log.InfoLevel, "configuration is in force"}
+	ConfigRejected = Event{301, log.ErrorLevel, "configuration document was rejected"}
+	ConfigOlder    = Event{302, log.WarnLevel, "older configuration was ignored"}
+	ConfigApplied  = Event{303, log.InfoLevel, "configuration change was accepted"}
+)
+
+// Peer events (400-499).
+var (
+	PeerJoined     = Event{400, log.InfoLevel, "peer joined"}
+	PeerSuspected  = Event{401, log.WarnLevel, "peer is suspected"}
+	PeerRecovered  = Event{402, log.InfoLevel, "peer recovered"}
+	HomesSettled   = Event{403, log.InfoLevel, "homes of idempotency keys settled"}
+	HomesChanged   = Event{404, log.InfoLevel, "homes of idempotency keys changed"}
+	FleetViewStale = Event{405, log.WarnLevel, "fleet view is stale, requests are refused"}
+	FleetViewFresh = Event{406, log.InfoLevel, "fleet view is fresh again"}
+)
+
+// Request events (500-599).
+var (
+	TargetEjected    = Event{500, log.WarnLevel, "target was ejected after failures"}
+	TargetReadmitted = Event{501, log.InfoLevel, "target was readmitted"}
+	TargetLeaving    = Event{502, log.InfoLevel, "target is leaving"}
+	AnswerDiscarded  = Event{503, log.DebugLevel, "answer of an abandoned attempt was discarded"}
+	ShardInboxFull   = Event{504, log.WarnLevel, "traffic shard is overloaded, request refused"}
+)
+
+// Fleet events (600-699).
+var (
+	ControllerActive      = Event{600, log.InfoLevel, "controller became active"}
+	ControllerInactive    = Event{601, log.WarnLevel, "controller is no longer active"}
+	OperationStarted      = Event{602, log.InfoLevel, "operation on a worker started"}
+	OperationAdvanced     = Event{603, log.InfoLevel, "operation on a worker advanced"}
+	OperationFinished     = Event{604, log.InfoLevel, "operation on a worker finished"}
+	OperationFailed       = Event{605, log.WarnLevel, "operation on a worker failed"}
+	DrainSlow             = Event{606, log.WarnLevel, "drain takes longer than expected"}
+	WorkerStateChanged    = Event{607, log.InfoLevel, "worker changed state"}
+	WaveStarted           = Event{608, log.InfoLevel, "maintenance wave started"}
+	WaveHalted            = Event{609, log.ErrorLevel, "maintenance wave was halted"}
+	WaveDone              = Event{610, log.InfoLevel, "maintenance wave is done"}
+	WaveChanged           = Event{611, log.InfoLevel, "maintenance wave was changed by an operator"}
+	PlatformUnavailable   = Event{612, log.WarnLevel, "platform is unavailable"}
+	PlatformAvailable     = Event{613, log.InfoLevel, "platform is available again"}
+	BudgetExceededByFault = Event{614, log.WarnLevel, "failures left a pool below its availability budget"}
+	WorkerAdded           = Event{615, log.InfoLevel, "worker joined the fleet"}
+	WorkerRemoved         = Event{616, log.InfoLevel, "worker left the fleet"}
+)
+
+// Job events (700-799).
+var (
+	JobFinished        = Event{700, log.InfoLevel, "job finished"}
+	JobUnknown         = Event{701, log.WarnLevel, "result of a job is unknown"}
+	JobParked          = Event{702, log.WarnLevel, "job cannot run and is parked"}
+	JobFailed          = Event{703, log.WarnLevel, "job failed for good"}
+	WorkerQuarantined  = Event{704, log.WarnLevel, "worker was quarantined"}
+	WorkerReleased     = Event{705, log.InfoLevel, "worker was released from quarantine"}
+	PowerCapThrottling = Event{706, log.WarnLevel, "power cap reached, tasks are throttled"}
+	JobPreempted       = Event{707, log.InfoLevel, "job was preempted by urgent work"}
+)
+
+// Catalogue lists every event. docs/events.md has one row for each of them.
+func Catalogue() []Event {
+	return []Event{
+		ProcessStarted, ProcessStopping, ProcessStopped, ProcessReady, ServerFailed, ShutdownTimeout, InvariantBroken,
+		StoreUnavailable, StoreAvailable, StoreWatchLost, StoreWriteUnknown, StoreWriteConflict, StoreBudgetUsedUp,
+		ProcessLeaseLost, ProcessLeaseGranted, StoreValueInvalid,
+		ConfigInForce, ConfigRejected, ConfigOlder, ConfigApplied,
+		PeerJoined, PeerSuspected, PeerRecovered, HomesSettled, HomesChanged, FleetViewStale, FleetViewFresh,
+		TargetEjected, TargetReadmitted, TargetLeaving, AnswerDiscarded, ShardInboxFull,
+		ControllerActive, ControllerInactive, OperationStarted, OperationAdvanced, OperationFinished, OperationFailed,
+		DrainSlow, WorkerStateChanged, WaveStarted, WaveHalted, WaveDone, WaveChanged, PlatformUnavailable,
+		PlatformAvailable, BudgetExceededByFault, WorkerAdded, WorkerRemoved,
+		JobFinished, JobUnknown, JobParked, JobFailed, WorkerQuarantined, WorkerReleased, PowerCapThrottling, JobPreempted,
+	}
+}
--- /dev/null
+++ b/events/events.go
@@ -0,0 +1,73 @@
+// Package events is the catalogue of numbered log events. Each number has one
+// meaning for ever; docs/events.md says what an operator does about it, and a
+// test compares the two.
+package events
+
+import (
+	"io"
+
+	"github.com/phuslu/log"
+)
+
+// Event is a numbered log event.
+type Event struct {
+	Number  int
+	Level   log.Level
+	Message string
+}
+
+// Logger writes numbered events. The zero value is not usable; use New or Discard.
+type Logger struct {
+	logger *log.Logger
+}
+
+// New returns a logger that writes JSON lines with the process's name and
+// incarnation.
+func New(w io.Writer, level log.Level, process, incarnation string) *Logger {
+	context := log.NewContext(nil).Str("process", process).Str("incarnation", incarnation).Value()
+	return &Logger{logger: &log.Logger{
+		Level:      level,
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Context:    context,
+		Writer:     &log.IOWriter{Writer: w},
+	}}
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger { return New(io.Discard, log.PanicLevel, "", "") }
+
+// Field is a key with a value of an event.
+type Field struct {
+	Key   string
+	Value any
+}
+
+// F returns a field.
+func F(key string, value any) Field { return Field{Key: key, Value: value} }
+
+// Err returns the field of an error.
+func Err(err error) Field { return Field{Key: "error", Value: err} }
+
+// Log writes the event.
+func (l *Logger) Log(event Event, fields ...Field) {
+	entry := l.logger.WithLevel(event.Level)
+	if entry == nil {
+		return
+	}
+	entry.Int("event", event.Number)
+	for _, field := range fields {
+		if err, ok := field.Value.(error); ok {
+			entry.Str(field.Key, err.Error())
+			continue
+		}
+		entry.Any(field.Key, field.Value)
+	}
+	entry.Msg(event.Message)
+}
+
+// Broken logs a broken invariant and stops the process. It is the only way in
+// which the program itself panics.
+func (l *Logger) Broken(event Event, fields ...Field) {
+	l.Log(event, fields...)
+	panic(event.Message)
+}
--- /dev/null
+++ b/fleet/document.go
@@ -0,0 +1,103 @@
+// Package fleet holds the fleet document, the state machine of a worker and the
+// rules of a graceful stop. The document is one value in the store with one row
+// per worker, so that every worker belongs to exactly one pool by construction.
+package fleet
+
+import "time"
+
+// State is the lifecycle state of a worker.
+type State string
+
+// The states of a worker. Only Serving counts as available.
+const (
+	Serving     State = "serving"
+	Draining    State = "draining"
+	Drained     State = "drained"
+	Rebooting   State = "rebooting"
+	Returning   State = "returning"
+	Suspected   State = "suspected"
+	Failed      State = "failed"
+	Leaving     State = "leaving"
+	Unknown     State = "unknown"
+	Quarantined State = "quarantined"
+)
+
+// Available reports whether the worker counts towards its pool's budget and may
+// receive new requests.
+func (s State) Available() bool { return s == Serving }
+
+// OperationKind names a planned operation.
+type OperationKind string
+
+// The kinds of planned operation.
+const (
+	OperationMaintain OperationKind = "maintain" // drain, reboot, return
+	OperationDrain    OperationKind = "drain"    // drain and stay drained until an operator returns it
+	OperationMove     OperationKind = "move"     // drain, change pool, return
+	OperationRotate   OperationKind = "rotate"   // drain, reboot, change pool, return: the maintained worker takes the spare's place
+)
+
+// Operation is a planned disruption of one worker. It is part of the fleet
+// document before the platform hears of it.
+type Operation struct {
+	ID       string        `json:"id"`
+	Kind     OperationKind `json:"kind"`
+	ToPool   string        `json:"to_pool,omitempty"`
+	Wave     string        `json:"wave,omitempty"`
+	Operator string        `json:"operator,omitempty"`
+	Reason   string        `json:"reason,omitempty"`
+	Aborted  bool          `json:"aborted,omitempty"` // finish in the direction of service
+	// StartRevision is the fleet revision that made the intent durable; gateways
+	// acknowledge it before the platform is called.
+	StartRevision uint64 `json:"start_revision"`
+	// BootID is the boot that the worker had before the operation.
+	BootID int64 `json:"boot_id"`
+}
+
+// Worker is one row of the document.
+type Worker struct {
+	ID               string     `json:"id"`
+	Pool             string     `json:"pool"`
+	State            State      `json:"state"`
+	Since            time.Time  `json:"since"`
+	Address          string     `json:"address"`
+	AvailabilityZone string     `json:"az"`
+	Rack             string     `json:"rack"`
+	Operation        *Operation `json:"op,omitempty"`
+	MaintainedAt     time.Time  `json:"maintained_at,omitzero"`
+	Note             string     `json:"note,omitempty"` // typed reason of the last state change
+}
+
+// WaveStatus is the state of a maintenance wave.
+type WaveStatus string
+
+// The states of a wave.
+const (
+	WaveRunning WaveStatus = "running"
+	WavePaused  WaveStatus = "paused"
+	WaveHalted  WaveStatus = "halted"
+	WaveAborted WaveStatus = "aborted"
+	WaveDone    WaveStatus = "done"
+)
+
+// Wave is the maintenance wave in progress. A worker is done when its
+// MaintainedAt is not before StartedAt.
+type Wave struct {
+	ID        string     `json:"id"`
+	Status    WaveStatus `json:"status"`
+	Pools     []string   `json:"pools"` // empty means all
+	StartedAt time.Time  `json:"started_at"`
+	Operator  string     `json:"operator"`
+	Reason    string     `json:"reason,omitempty"` // why it was halted, paused or aborted
+	Failures  int        `json:"failures"`
+	Moves     int        `json:"moves"`
+	Clean     int        `json:"clean"` // maintained workers without a failure
+}
+
+// Document is the fleet value in the store.
+type Document struct {
+	Epoch    uint64   `json:"epoch"`    // of the active controller that wrote it
+	Revision uint64   `json:"revision"` // increases by one with each write
+	Workers  []Worker `json:"workers"`
+	Wave     *Wave    `json:"wave,omitempty"`
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,106 @@
+// Package settings holds the checked flag types and the flag groups that the
+// programs share. Every flag can also be set by an environment variable; an
+// error names the flag, its value and the accepted range.
+package settings
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/phuslu/log"
+)
+
+// environmentPrefix starts the name of every environment variable.
+const environmentPrefix = "WAXWING"
+
+// Parse fills the struct from arguments and environment variables.
+func Parse(program, description string, args []string, target any, stdout, stderr io.Writer) (*kong.Context, error) {
+	parser, err := kong.New(target,
+		kong.Name(program), kong.Description(description),
+		kong.DefaultEnvars(environmentPrefix),
+		kong.Writers(stdout, stderr),
+		kong.UsageOnError())
+	if err != nil {
+		return nil, fmt.Errorf("flags of %s: %w", program, err)
+	}
+	return parser.Parse(args)
+}
+
+// Address is an ip:port. Port 0 picks a free port where an address is listened on.
+type Address string
+
+// Validate reports an address that is not ip:port.
+func (a Address) Validate() error {
+	if _, err := netip.ParseAddrPort(string(a)); err != nil {
+		return fmt.Errorf("%q is not an address of the form ip:port with a port from 0 to 65535", string(a))
+	}
+	return nil
+}
+
+// BaseURL is an http URL without query.
+type BaseURL string
+
+// Validate reports a URL that is not absolute http or https.
+func (u BaseURL) Validate() error {
+	parsed, err := url.Parse(string(u))
+	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" || parsed.RawQuery != "" {
+		return fmt.Errorf("%q is not a URL of the form http://host:port", string(u))
+	}
+	return nil
+}
+
+var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,31}$`)
+
+// Name is the name of a site, availability zone, pool or tenant.
+type Name string
+
+// Validate reports a name that is empty, too long or has other characters.
+func (n Name) Validate() error {
+	if !nameForm.MatchString(string(n)) {
+		return fmt.Errorf("%q is not a name of 1 to 32 characters a-z, 0-9 and -, starting with a letter or digit", string(n))
+	}
+	return nil
+}
+
+// ValidName reports whether the text is a valid name.
+func ValidName(text string) bool { return nameForm.MatchString(text) }
+
+// Shutdown timeout range.
+const (
+	MinShutdownTimeout = time.Second
+	MaxShutdownTimeout = 10 * time.Minute
+)
+
+// ShutdownTimeout bounds a graceful shutdown.
+type ShutdownTimeout time.Duration
+
+// UnmarshalText parses a duration and checks its range.
+func (d *ShutdownTimeout) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	if err != nil || value < MinShutdownTimeout || value > MaxShutdownTimeout {
+		return fmt.Errorf("%q is not a duration from %v to %v", text, MinShutdownTimeout, MaxShutdownTimeout)
+	}
+	*d = ShutdownTimeout(value)
+	return nil
+}
+
+// Process holds the flags that every process of the system has.
+type Process struct {
+	Site             Name            `required:"" help:"Name of the site, 1-32 characters a-z, 0-9 and -."`
+	AvailabilityZone Name            `required:"" help:"Availability zone of this process."`
+	Store            []BaseURL       `required:"" help:"Base URLs of the platform's key-value store."`
+	Platform         BaseURL         `required:"" help:"Base URL of the platform's VM and task interface."`
+	ListenPeers      Address         `default:"127.0.0.1:0" help:"ip:port for peers."`
+	ListenAdmin      Address         `default:"127.0.0.1:0" help:"ip:port for /healthz, /readyz and /metrics."`
+	Peers            []Address       `help:"Peer addresses to contact first."`
+	ShutdownTimeout  ShutdownTimeout `default:"30s" help:"Longest graceful shutdown, 1s to 10m."`
+	LogLevel         string          `enum:"debug,info,warn,error" default:"info" help:"Least level that is logged: debug, info, warn or error."`
+}
+
+// Level returns the log level.
+func (p *Process) Level() log.Level { return log.ParseLevel(p.LogLevel) }
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,96 @@
+// Package store is the port to the platform's key-value service. It has four
+// verbs: get, compare-and-swap, lease and watch. Adapters live in sub-packages;
+// nothing else knows the service's protocol.
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Errors of the port. Adapters wrap them, so callers test with errors.Is.
+var (
+	// ErrConflict means that the key's revision was not the expected one. Nothing was written.
+	ErrConflict = errors.New("store: revision conflict")
+	// ErrUnavailable means that the store provably did not execute the call.
+	ErrUnavailable = errors.New("store: unavailable")
+	// ErrUnknown means that the call may or may not have taken effect. The caller
+	// resolves it with Resolve, never by repeating the write.
+	ErrUnknown = errors.New("store: result unknown")
+	// ErrLeaseLost means that the lease no longer exists.
+	ErrLeaseLost = errors.New("store: lease lost")
+	// ErrBudget means that the local call budget is used up. Nothing was sent.
+	ErrBudget = errors.New("store: call budget exhausted")
+)
+
+// Revision is the store's modification revision of a key. Zero means that the
+// key does not exist.
+type Revision int64
+
+// LeaseID identifies a lease. Zero means none.
+type LeaseID int64
+
+// Value is a key's content. WriteID identifies the write that produced it, so
+// that a writer can find out whether its own write took effect.
+type Value struct {
+	Key      string
+	Data     []byte
+	WriteID  string
+	Revision Revision
+}
+
+// Put describes a compare-and-swap of a single key. Revision is the revision
+// that the writer has seen; zero creates the key. WriteID must be unique.
+type Put struct {
+	Key      string
+	Data     []byte
+	WriteID  string
+	Revision Revision
+	Lease    LeaseID
+}
+
+// Event is one change or a progress notification of a watch. A progress
+// notification (Progress true) proves that the watch saw everything up to now.
+type Event struct {
+	Value    Value
+	Deleted  bool
+	Progress bool
+}
+
+// Store is the port. Every call honours the context's deadline. Get of a
+// missing key returns a Value with Revision zero and no error.
+type Store interface {
+	Get(ctx context.Context, key string) (Value, error)
+	List(ctx context.Context, prefix string) ([]Value, error)
+	CompareAndSwap(ctx context.Context, put Put) (Revision, error)
+	// Delete removes the key if it has the given revision.
+	Delete(ctx context.Context, key string, revision Revision) error
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// RenewLease returns the remaining time to live, counted from the moment
+	// before the call was sent.
+	RenewLease(ctx context.Context, lease LeaseID) (time.Duration, error)
+	RevokeLease(ctx context.Context, lease LeaseID) error
+	// Watch delivers the current values under the prefix, then every change,
+	// until the context ends or the connection is lost. The channel is closed
+	// at the end; the caller then watches again after a backoff.
+	Watch(ctx context.Context, prefix string) (<-chan Event, error)
+}
+
+// Resolve finds out whether a write with an unknown result took effect. It
+// returns the revision if it did, ErrConflict if another write or no write is in
+// place, and ErrUnknown while the store cannot tell.
+//
+// A write that was delayed in transit may still arrive after Resolve saw the old
+// revision; it then fails or succeeds on the revision compare. The caller must
+// therefore read again before it bases a new write on the old revision.
+func Resolve(ctx context.Context, s Store, put Put) (Revision, error) {
+	current, err := s.Get(ctx, put.Key)
+	if err != nil {
+		return 0, errors.Join(ErrUnknown, err)
+	}
+	if current.WriteID == put.WriteID {
+		return current.Revision, nil
+	}
+	return 0, ErrConflict
+}
