--- /dev/null
+++ b/node/keys.go
@@ -0,0 +1,41 @@
+// Package node holds what every process of the system has in common: its
+// identity, its registration and lease in the store, its view of configuration
+// and fleet with the age of that view, and the I/O that keeps the view fresh.
+// The view is part of the control state of a role; the I/O goroutines only post
+// events to the role's control loop.
+package node
+
+import "strings"
+
+// Keys names the store keys of a site.
+type Keys struct{ prefix string }
+
+// NewKeys returns the keys of a site.
+func NewKeys(site string) Keys { return Keys{prefix: "/waxwing/" + site + "/"} }
+
+// Shared is the prefix that every process watches.
+func (k Keys) Shared() string { return k.prefix + "shared/" }
+
+// Config is the key of the configuration document.
+func (k Keys) Config() string { return k.Shared() + "config" }
+
+// Fleet is the key of the fleet document.
+func (k Keys) Fleet() string { return k.Shared() + "fleet" }
+
+// Homes is the key of the homes of idempotency keys.
+func (k Keys) Homes() string { return k.Shared() + "homes" }
+
+// Leader is the key of the active controller's identity.
+func (k Keys) Leader() string { return k.Shared() + "leader" }
+
+// Members is the prefix of the registrations of live processes.
+func (k Keys) Members() string { return k.prefix + "members/" }
+
+// Member is the key of the registration of one process.
+func (k Keys) Member(incarnation string) string { return k.Members() + incarnation }
+
+// JobPage is the key of a page of jobs.
+func (k Keys) JobPage(page string) string { return k.prefix + "jobs/" + page }
+
+// Incarnation returns the incarnation of a member key.
+func (k Keys) Incarnation(memberKey string) string { return strings.TrimPrefix(memberKey, k.Members()) }
