--- a/store/store.go
+++ b/store/store.go
@@ -22,6 +22,8 @@
 	ErrLeaseLost = errors.New("store: lease lost")
 	// ErrBudget means that the local call budget is used up. Nothing was sent.
 	ErrBudget = errors.New("store: call budget exhausted")
+	// ErrTooLarge means that the value exceeds the store's limit. Nothing was written.
+	ErrTooLarge = errors.New("store: value too large")
 )
 
 // Revision is the store's modification revision of a key. Zero means that the
@@ -51,7 +53,8 @@
 }
 
 // Event is one change or a progress notification of a watch. A progress
-// notification (Progress true) proves that the watch saw everything up to now.
+// notification (Progress true) proves that the watch saw everything up to the
+// store's revision that its Value carries.
 type Event struct {
 	Value    Value
 	Deleted  bool
@@ -71,7 +74,8 @@
 	// before the call was sent.
 	RenewLease(ctx context.Context, lease LeaseID) (time.Duration, error)
 	RevokeLease(ctx context.Context, lease LeaseID) error
-	// Watch delivers the current values under the prefix, then every change,
+	// Watch delivers the current values under the prefix, a progress
+	// notification (keys not seen before it do not exist), then every change,
 	// until the context ends or the connection is lost. The channel is closed
 	// at the end; the caller then watches again after a backoff.
 	Watch(ctx context.Context, prefix string) (<-chan Event, error)
