--- /dev/null
+++ b/store/lease_test.go
@@ -0,0 +1,147 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/store"
+	"github.com/waxwingbridge/waxwingbridge/store/memory"
+)
+
+const leaseTTL = 9 * time.Second
+
+type fakeClock struct{ nanos atomic.Int64 }
+
+func (c *fakeClock) now() time.Time          { return time.Unix(1_800_000_000, c.nanos.Load()) }
+func (c *fakeClock) advance(d time.Duration) { c.nanos.Add(int64(d)) }
+
+type leaseFixture struct {
+	clock         fakeClock
+	memory        *memory.Store
+	lease         *store.ProcessLease
+	granted, lost []store.LeaseID
+}
+
+func newLeaseFixture(t *testing.T) *leaseFixture {
+	f := &leaseFixture{}
+	f.memory = memory.New(memory.Options{Now: f.clock.now})
+	t.Cleanup(f.memory.Close)
+	f.lease = store.NewProcessLease(f.memory, store.ProcessLeaseOptions{
+		TTL: leaseTTL, Now: f.clock.now, Rand: rand.New(rand.NewPCG(20261204, 1)),
+		OnGranted: func(id store.LeaseID) { f.granted = append(f.granted, id) },
+		OnLost:    func(id store.LeaseID) { f.lost = append(f.lost, id) },
+	})
+	return f
+}
+
+// Guards against a deadline that counts from the answer instead of the sending.
+func TestProcessLeaseDeadlineCountsFromSending(t *testing.T) {
+	f := newLeaseFixture(t)
+	ctx := context.Background()
+	f.lease.Step(ctx)
+	sent := f.clock.now()
+	f.clock.advance(3 * time.Second)
+	if got := f.lease.Remaining(f.clock.now()); got != leaseTTL-3*time.Second {
+		t.Errorf("remaining = %v", got)
+	}
+	if wait := f.lease.Step(ctx); wait <= 0 || wait > leaseTTL/2 {
+		t.Errorf("next renewal in %v", wait)
+	}
+	if got := f.lease.Deadline(); !got.Equal(sent.Add(3*time.Second + leaseTTL)) {
+		t.Errorf("deadline = %v", got)
+	}
+}
+
+// Guards against a paused process that keeps acting under a lapsed lease.
+func TestProcessLeaseGrantsAnewAfterLapse(t *testing.T) {
+	f := newLeaseFixture(t)
+	ctx := context.Background()
+	f.lease.Step(ctx)
+	first := f.lease.Lease()
+	f.clock.advance(leaseTTL)
+	if f.lease.Remaining(f.clock.now()) != 0 || f.lease.Lease() != 0 {
+		t.Fatal("lapsed lease still counts")
+	}
+	f.lease.Step(ctx)
+	if len(f.lost) != 1 || f.lost[0] != first || len(f.granted) != 2 || f.lease.Lease() == first {
+		t.Errorf("granted %v, lost %v", f.granted, f.lost)
+	}
+}
+
+// Guards against a process that spins or loses its lease early during a store outage.
+func TestProcessLeaseSurvivesShortOutage(t *testing.T) {
+	f := newLeaseFixture(t)
+	ctx := context.Background()
+	f.lease.Step(ctx)
+	f.memory.SetFaults(memory.Faults{Down: true})
+	for range 5 {
+		if wait := f.lease.Step(ctx); wait < 10*time.Millisecond || wait > leaseTTL/6 {
+			t.Errorf("retry after %v", wait)
+		}
+	}
+	f.memory.SetFaults(memory.Faults{})
+	f.clock.advance(leaseTTL - time.Second)
+	f.lease.Step(ctx)
+	if len(f.lost) != 0 || f.lease.Remaining(f.clock.now()) != leaseTTL {
+		t.Errorf("lost %v, remaining %v", f.lost, f.lease.Remaining(f.clock.now()))
+	}
+}
+
+// Guards against a lease that the store dropped and that the process still believes in.
+func TestProcessLeaseNoticesRevocation(t *testing.T) {
+	f := newLeaseFixture(t)
+	ctx := context.Background()
+	f.lease.Step(ctx)
+	if err := f.memory.RevokeLease(ctx, f.lease.Lease()); err != nil {
+		t.Fatal(err)
+	}
+	f.lease.Step(ctx)
+	if f.lease.Remaining(f.clock.now()) != 0 || len(f.lost) != 1 {
+		t.Errorf("lost = %v", f.lost)
+	}
+	f.lease.Step(ctx)
+	if f.lease.Remaining(f.clock.now()) != leaseTTL {
+		t.Error("no new lease after the loss")
+	}
+}
+
+// Guards against writes that use up the tokens kept for lease renewals.
+func TestBudgetKeepsReserveForLeases(t *testing.T) {
+	var clock fakeClock
+	m := memory.New(memory.Options{})
+	defer m.Close()
+	b := store.NewBudgeted(m, store.Budget{WritesPerSecond: 1, WriteBurst: 3, LeaseReserve: 2}, clock.now)
+	ctx := context.Background()
+	if _, err := b.CompareAndSwap(ctx, store.Put{Key: "a", WriteID: "1"}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.CompareAndSwap(ctx, store.Put{Key: "b", WriteID: "2"}); !errors.Is(err, store.ErrBudget) {
+		t.Errorf("write into the reserve: %v", err)
+	}
+	if _, err := b.GrantLease(ctx, leaseTTL); err != nil {
+		t.Errorf("lease call within the reserve: %v", err)
+	}
+	if m.Calls()["compare-and-swap"] != 1 || b.Refused() != 1 || b.Sent().Get(store.CallGrantLease) != 1 {
+		t.Errorf("calls %v, refused %d", m.Calls(), b.Refused())
+	}
+	clock.advance(2 * time.Second)
+	if _, err := b.CompareAndSwap(ctx, store.Put{Key: "b", WriteID: "3"}); err != nil {
+		t.Errorf("write after refill: %v", err)
+	}
+}
+
+// Guards against jitter outside its bounds and a bound that overflows.
+func TestBackoffStaysWithinBounds(t *testing.T) {
+	b := store.Backoff{Base: 10 * time.Millisecond, Max: time.Second, Rand: rand.New(rand.NewPCG(20261204, 2))}
+	bound := b.Base
+	for range 200 {
+		if wait := b.Next(); wait <= 0 || wait > bound {
+			t.Fatalf("wait %v outside (0, %v]", wait, bound)
+		}
+		bound = min(2*bound, b.Max)
+	}
+}
