--- a/policy/effective.go
+++ b/policy/effective.go
@@ -15,13 +15,25 @@
 	pools     map[string]Pool
 	tenants   map[string]Tenant // only tenants with exceptions
 	tenant    Tenant
+	defaults  Pool
+
+	exceptions map[target]*Exception // in force
+	all        []Exception           // of the document
 }
 
-// Resolve computes the effective values at a moment. The document must be valid.
+// Kinds of scope, before the slash.
+const (
+	scopePool   = "pool"
+	scopeTenant = "tenant"
+)
+
+// Resolve computes the effective values at a moment. The document must be valid
+// and must not be modified afterwards.
 func Resolve(doc *Document, now time.Time) *Effective {
 	e := &Effective{
 		revision: doc.Revision, writeID: doc.WriteID, site: doc.Site, poolSpecs: doc.Pools,
 		pools: make(map[string]Pool, len(doc.Pools)), tenants: map[string]Tenant{}, tenant: doc.Defaults.Tenant,
+		defaults: doc.Defaults.Pool, exceptions: map[target]*Exception{}, all: doc.Exceptions,
 	}
 	for _, spec := range doc.Pools {
 		e.pools[spec.Name] = doc.Defaults.Pool
@@ -36,15 +48,16 @@
 }
 
 func (e *Effective) apply(exception *Exception) {
+	e.exceptions[target{exception.Scope, exception.Field}] = exception
 	kind, name, _ := strings.Cut(exception.Scope, "/")
 	switch kind {
-	case "pool":
+	case scopePool:
 		pool, ok := e.pools[name]
 		if field := poolFields[exception.Field]; ok && field.set != nil {
 			field.set(&pool, exception.Value)
 			e.pools[name] = pool
 		}
-	case "tenant":
+	case scopeTenant:
 		tenant := e.Tenant(name)
 		if field := tenantFields[exception.Field]; field.set != nil {
 			field.set(&tenant, exception.Value)
--- a/policy/fields.go
+++ b/policy/fields.go
@@ -1,6 +1,9 @@
 package policy
 
-import "math"
+import (
+	"fmt"
+	"math"
+)
 
 // field describes one number that an exception can override, with its accepted range.
 type field[T any] struct {
@@ -10,6 +13,20 @@
 	set         func(*T, float64)
 }
 
+// accepts reports whether the value is in the range. NaN is in no range.
+func (f field[T]) accepts(value float64) bool {
+	return value >= f.least && value <= f.most && (!f.whole || math.Trunc(value) == value)
+}
+
+// accepted describes the range to an operator.
+func (f field[T]) accepted() string {
+	kind := "a number"
+	if f.whole {
+		kind = "a whole number"
+	}
+	return fmt.Sprintf("%s from %s to %s", kind, formatNumber(f.least), formatNumber(f.most))
+}
+
 func wholeField[T any](least, most int, ref func(*T) *int) field[T] {
 	return field[T]{
 		least: float64(least), most: float64(most), whole: true,
@@ -32,8 +49,19 @@
 	maxWorkersPerPool = 10_000
 	maxTimeoutMS      = 24 * 60 * 60 * 1000
 	maxRate           = 1e6
+	maxWatts          = 100_000_000
 )
 
+var siteFields = map[string]field[Site]{
+	"maintenance_days":       wholeField(1, 365, func(s *Site) *int { return &s.MaintenanceDays }),
+	"canary_workers":         wholeField(1, maxWorkersPerPool, func(s *Site) *int { return &s.CanaryWorkers }),
+	"halt_after_failures":    wholeField(1, maxWorkersPerPool, func(s *Site) *int { return &s.HaltAfterFailures }),
+	"power_cap_watts":        wholeField(0, maxWatts, func(s *Site) *int { return &s.PowerCapWatts }),
+	"reboot_inrush_watts":    wholeField(0, maxWatts, func(s *Site) *int { return &s.RebootInrushWatts }),
+	"job_quarantine_cap":     realField(0, 1, func(s *Site) *float64 { return &s.JobQuarantineCap }),
+	"max_concurrent_reboots": wholeField(0, maxWorkersPerPool, func(s *Site) *int { return &s.MaxConcurrentReboots }),
+}
+
 var poolFields = map[string]field[Pool]{
 	"min_serving":            wholeField(0, maxWorkersPerPool, func(p *Pool) *int { return &p.MinServing }),
 	"min_serving_share":      realField(0, 1, func(p *Pool) *float64 { return &p.MinServingShare }),
--- /dev/null
+++ b/policy/problem.go
@@ -0,0 +1,69 @@
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Problem is one fault of a document.
+type Problem struct {
+	File     string `json:"file,omitempty"`
+	Field    string `json:"field,omitempty"` // path such as exceptions[2].reason; empty for the whole document
+	Value    string `json:"value"`
+	Accepted string `json:"accepted"`
+}
+
+// Error names file, field, value and accepted range.
+func (p Problem) Error() string {
+	var b strings.Builder
+	if p.File != "" {
+		b.WriteString(p.File + ": ")
+	}
+	if p.Field != "" {
+		b.WriteString(p.Field + ": ")
+	}
+	fmt.Fprintf(&b, "%s is not accepted, want %s", p.Value, p.Accepted)
+	return b.String()
+}
+
+// Problems lists all faults that were found in a document.
+type Problems []Problem
+
+// Error joins the problems, one per line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i := range p {
+		lines[i] = p[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// WithFile returns the error with the file name set in each of its problems
+// that has none. Errors of another type are returned unchanged.
+func WithFile(file string, err error) error {
+	var problems Problems
+	if !errors.As(err, &problems) {
+		return err
+	}
+	named := make(Problems, len(problems))
+	for i, problem := range problems {
+		if problem.File == "" {
+			problem.File = file
+		}
+		named[i] = problem
+	}
+	return named
+}
+
+// orNil avoids an error interface that holds an empty list.
+func (p Problems) orNil() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
+
+func (p *Problems) add(field, value, accepted string) {
+	*p = append(*p, Problem{Field: field, Value: value, Accepted: accepted})
+}
