--- a/fleet/document.go
+++ b/fleet/document.go
@@ -65,7 +65,10 @@
 	Rack             string     `json:"rack"`
 	Operation        *Operation `json:"op,omitempty"`
 	MaintainedAt     time.Time  `json:"maintained_at,omitzero"`
-	Note             string     `json:"note,omitempty"` // typed reason of the last state change
+	Note             Reason     `json:"note,omitempty"` // reason of the last state change
+	// BootID is the highest boot ID seen. A report with a lower one is older than
+	// what the document knows.
+	BootID int64 `json:"boot_id,omitempty"`
 }
 
 // WaveStatus is the state of a maintenance wave.
@@ -92,6 +95,24 @@
 	Failures  int        `json:"failures"`
 	Moves     int        `json:"moves"`
 	Clean     int        `json:"clean"` // maintained workers without a failure
+	// Width is the largest number of workers that the wave disrupts at once. It
+	// doubles after Width clean results in a row.
+	Width int `json:"width"`
+	// Streak counts the clean results since the last widening or failure.
+	Streak int `json:"streak"`
+	// BatchFailures counts the failures since the last full clean batch.
+	BatchFailures int           `json:"batch_failures"`
+	Failed        []WaveFailure `json:"failed,omitempty"`
+}
+
+// WaveFailure records a worker that failed during an operation of the wave. The
+// rack is kept because the platform may replace the worker.
+type WaveFailure struct {
+	Worker           string    `json:"worker"`
+	Pool             string    `json:"pool"`
+	AvailabilityZone string    `json:"az"`
+	Rack             string    `json:"rack"`
+	At               time.Time `json:"at"`
 }
 
 // Document is the fleet value in the store.
@@ -100,4 +121,7 @@
 	Revision uint64   `json:"revision"` // increases by one with each write
 	Workers  []Worker `json:"workers"`
 	Wave     *Wave    `json:"wave,omitempty"`
+	// Borrowed counts, per pool, the spare workers that moved in and whose place
+	// in the spare pool no worker has taken yet.
+	Borrowed map[string]int `json:"borrowed,omitempty"`
 }
--- /dev/null
+++ b/fleet/reconcile.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Periods of the reconciliation with the VM list.
+const (
+	// ListLag is the usual largest age of a row of the list. A row about a worker
+	// that changed within this time is not even verified.
+	ListLag = 30 * time.Second
+	// MissingPeriod is the time for which a worker must be missing from all lists
+	// before its row is removed. It exceeds ListLag, so that one truncated or
+	// stale list removes nothing.
+	MissingPeriod = 2 * time.Minute
+	// FailPeriod is the time after which a suspected worker counts as failed.
+	FailPeriod = time.Minute
+)
+
+// ChangeKind names what the reconciliation did to a worker.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	ChangeAdded   ChangeKind = "added"
+	ChangeRemoved ChangeKind = "removed"
+	ChangeState   ChangeKind = "state"
+)
+
+// Change is one effect of the reconciliation.
+type Change struct {
+	Worker   string
+	Kind     ChangeKind
+	From, To State
+	Reason   Reason
+}
+
+// Reconciliation is the result of merging a VM list.
+type Reconciliation struct {
+	Changes []Change
+	// Verify names the workers about which the list contradicts the document. The
+	// caller asks the platform directly and passes the answers to Observe.
+	Verify []string
+}
+
+// Reconcile merges a VM list that was polled at the given time into the tables.
+// Because the list may be stale by any amount, it only adds workers, marks
+// leaving ones, which is never taken back, and removes those that are missing
+// for long. Every other contradiction has to be verified. Workers with an
+// operation are left to its steps, which ask the platform directly.
+func (t *Tables) Reconcile(list []Observation, polled time.Time) Reconciliation {
+	var result Reconciliation
+	seen := make(map[string]bool, len(list))
+	for i := range list {
+		observed := &list[i]
+		if seen[observed.Worker] {
+			continue
+		}
+		seen[observed.Worker] = true
+		row := t.Worker(observed.Worker)
+		if row == nil {
+			if change, ok := t.join(observed, polled); ok {
+				result.Changes = append(result.Changes, change)
+			}
+			continue
+		}
+		row.MissingSince = time.Time{}
+		t.mergeRow(row, observed, polled, &result)
+	}
+	result.Changes = append(result.Changes, t.removeMissing(seen, polled)...)
+	return result
+}
+
+// mergeRow handles a listed worker that the document has. A row with a lower
+// boot ID or about a worker that changed within ListLag is stale.
+func (t *Tables) mergeRow(row *WorkerRow, observed *Observation, polled time.Time, result *Reconciliation) {
+	if row.OperationID != 0 || observed.BootID < row.BootID {
+		return
+	}
+	to, reason := suggestedState(row, observed, polled)
+	switch {
+	case to == row.State && row.State != Suspected:
+	case to == Leaving:
+		if change, ok := t.change(row, to, reason, polled); ok {
+			result.Changes = append(result.Changes, change)
+		}
+	case row.State == Suspected || polled.Sub(row.Since) > ListLag:
+		result.Verify = append(result.Verify, row.ID)
+	}
+}
+
+// Observe merges the platform's direct answer about a worker without an
+// operation. It reports the change of state, if any.
+func (t *Tables) Observe(observed *Observation, now time.Time) (Change, bool) {
+	row := t.Worker(observed.Worker)
+	if row == nil || row.OperationID != 0 || observed.BootID < row.BootID {
+		return Change{}, false
+	}
+	if observed.BootID > row.BootID {
+		row.BootID = observed.BootID
+		t.touchRow(row)
+	}
+	to, reason := suggestedState(row, observed, now)
+	if to == row.State {
+		return Change{}, false
+	}
+	return t.change(row, to, reason, now)
+}
+
+// join adds a worker that the document does not have. One that is not live
+// joins as unknown and becomes serving when it is seen live.
+func (t *Tables) join(observed *Observation, now time.Time) (Change, bool) {
+	if observed.Status == StatusLeaving || observed.Status == StatusDown || observed.Pool == "" {
+		return Change{}, false
+	}
+	state := Unknown
+	if observed.Status == StatusLive {
+		state = Serving
+	}
+	row := t.insert(Worker{
+		ID: observed.Worker, Pool: observed.Pool, State: state, Since: now, Address: observed.Address,
+		AvailabilityZone: observed.AvailabilityZone, Rack: observed.Rack, Note: ReasonListed, BootID: observed.BootID,
+	}, 0)
+	t.touchRow(row)
+	return Change{Worker: row.ID, Kind: ChangeAdded, To: state, Reason: ReasonListed}, true
+}
+
+// suggestedState returns the state that an observation suggests for a worker
+// without an operation.
+func suggestedState(row *WorkerRow, observed *Observation, now time.Time) (State, Reason) {
+	switch observed.Status {
+	case StatusLeaving:
+		if row.State == Failed {
+			return Failed, row.Note
+		}
+		return Leaving, ReasonWorkerLeaving
+	case StatusDown, StatusRebooting:
+		return suspect(row, now)
+	case StatusLive:
+		if row.State == Suspected || row.State == Failed || row.State == Unknown {
+			return Serving, ReasonRecovered
+		}
+	case StatusDraining: // without an operation nobody would undrain it
+		if row.State != Leaving && row.State != Quarantined {
+			return Returning, ReasonRecovered
+		}
+	}
+	return row.State, row.Note
+}
+
+func suspect(row *WorkerRow, now time.Time) (State, Reason) {
+	switch row.State {
+	case Serving, Unknown, Quarantined:
+		return Suspected, ReasonWorkerDown
+	case Suspected:
+		if now.Sub(row.Since) >= FailPeriod {
+			return Failed, ReasonWorkerDown
+		}
+	}
+	return row.State, row.Note
+}
+
+func (t *Tables) change(row *WorkerRow, to State, reason Reason, now time.Time) (Change, bool) {
+	from := row.State
+	if !CanTransition(from, to) {
+		return Change{}, false
+	}
+	if to == Returning {
+		// The time makes the ID unique among the returns of this worker.
+		t.addOperation(row, Start{
+			Operation: row.ID + "/return/" + now.UTC().Format(time.RFC3339Nano), Kind: OperationDrain, Worker: row.ID,
+		}, true)
+	}
+	if err := t.setState(row, to, reason, now); err != nil {
+		return Change{}, false
+	}
+	return Change{Worker: row.ID, Kind: ChangeState, From: from, To: to, Reason: reason}, true
+}
+
+// removeMissing suspects workers that the list lacks and removes those that
+// have been missing for MissingPeriod.
+func (t *Tables) removeMissing(seen map[string]bool, now time.Time) []Change {
+	var changes []Change
+	for _, row := range t.Workers.All() {
+		switch {
+		case seen[row.ID]:
+		case row.MissingSince.IsZero():
+			row.MissingSince = now
+		case now.Sub(row.MissingSince) >= MissingPeriod:
+			changes = append(changes, Change{Worker: row.ID, Kind: ChangeRemoved, From: row.State, Reason: ReasonMissing})
+			if operation := t.Operation(row); operation != nil {
+				t.countFailure(row, operation, now)
+			}
+			t.remove(row)
+		case row.State == Serving && row.OperationID == 0 && now.Sub(row.MissingSince) > ListLag:
+			if change, ok := t.change(row, Suspected, ReasonMissing, now); ok {
+				changes = append(changes, change)
+			}
+		}
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int { return strings.Compare(a.Worker, b.Worker) })
+	return changes
+}
--- /dev/null
+++ b/fleet/state.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Reason is the typed reason of a wait, a state change or a refusal.
+type Reason string
+
+// The reasons of steps and state changes.
+const (
+	ReasonCommitPending    Reason = "commit-pending"         // the intent is not in the store yet
+	ReasonAcknowledgement  Reason = "gateway-acknowledgment" // a gateway may still send to the worker
+	ReasonNotAllowed       Reason = "disruption-not-allowed" // store unreachable or lease too short
+	ReasonNoObservation    Reason = "no-observation"         // the platform has not answered for the worker
+	ReasonRequests         Reason = "requests-in-flight"
+	ReasonTasks            Reason = "tasks-in-flight"
+	ReasonHeld             Reason = "held-drained" // an operator keeps the worker drained
+	ReasonRebooting        Reason = "reboot-in-progress"
+	ReasonWorkerDown       Reason = "worker-down"
+	ReasonWorkerLeaving    Reason = "worker-leaving"
+	ReasonCallUnsettled    Reason = "platform-call-unsettled" // a call without an answer may still take effect
+	ReasonRebootTimeout    Reason = "reboot-timeout"
+	ReasonRejected         Reason = "platform-rejected"
+	ReasonAborted          Reason = "aborted"
+	ReasonStarted          Reason = "operation-started"
+	ReasonAdvanced         Reason = "operation-advanced"
+	ReasonDone             Reason = "operation-done"
+	ReasonUndrained        Reason = "undrained-elsewhere" // the worker accepts requests again without a request of ours
+	ReasonRecovered        Reason = "recovered"
+	ReasonMissing          Reason = "missing-from-list"
+	ReasonListed           Reason = "listed"
+	ReasonUnexpectedStatus Reason = "unexpected-status"
+	ReasonNoOperation      Reason = "no-operation"
+	ReasonBusy             Reason = "operation-in-progress"
+	ReasonNotServing       Reason = "not-serving"
+	ReasonUnknownWorker    Reason = "unknown-worker"
+	ReasonUnknownPool      Reason = "unknown-pool"
+	ReasonQuarantine       Reason = "quarantine"
+)
+
+// transitions lists the states that may follow each state.
+var transitions = map[State][]State{
+	Serving:     {Draining, Returning, Suspected, Failed, Leaving, Quarantined},
+	Draining:    {Drained, Returning, Failed, Leaving},
+	Drained:     {Draining, Rebooting, Returning, Failed, Leaving},
+	Rebooting:   {Draining, Returning, Failed, Leaving},
+	Returning:   {Serving, Failed, Leaving},
+	Suspected:   {Serving, Returning, Failed, Leaving},
+	Failed:      {Serving, Returning, Leaving},
+	Leaving:     {Failed},
+	Unknown:     {Serving, Returning, Suspected, Failed, Leaving},
+	Quarantined: {Serving, Returning, Suspected, Failed, Leaving},
+}
+
+// TransitionError reports a state change that the state machine does not allow.
+type TransitionError struct {
+	Worker   string
+	From, To State
+}
+
+func (e *TransitionError) Error() string {
+	return fmt.Sprintf("fleet: worker %s cannot change from %s to %s", e.Worker, e.From, e.To)
+}
+
+// CanTransition reports whether to may follow from.
+func CanTransition(from, to State) bool { return slices.Contains(transitions[from], to) }
+
+// RequestError reports an operator's or the planner's request that the state of
+// the worker does not allow.
+type RequestError struct {
+	Worker string
+	State  State
+	Reason Reason
+}
+
+func (e *RequestError) Error() string {
+	return fmt.Sprintf("fleet: request for worker %s in state %q refused: %s", e.Worker, e.State, e.Reason)
+}
--- /dev/null
+++ b/fleet/step_test.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+var epochStart = time.Date(2026, 12, 4, 20, 0, 0, 0, time.UTC)
+
+// snapshot returns a durable worker in the state with everything allowed.
+func snapshot(kind OperationKind, state State, change func(*Snapshot)) *Snapshot {
+	operation := &Operation{ID: "op1", Kind: kind, BootID: 7}
+	if kind == OperationMove || kind == OperationRotate {
+		operation.ToPool = "spare"
+	}
+	s := &Snapshot{
+		Now: epochStart.Add(time.Minute), Durable: true, GatewaysAcknowledged: true, DisruptionAllowed: true, CallAllowed: true,
+		Worker:   Worker{ID: "w1", Pool: "a", State: state, Since: epochStart, BootID: 7, Operation: operation},
+		Observed: &Observation{Worker: "w1", Pool: "a", Status: StatusDraining, BootID: 7},
+	}
+	if change != nil {
+		change(s)
+	}
+	return s
+}
+
+func status(status Status) func(*Snapshot) {
+	return func(s *Snapshot) { s.Observed.Status = status }
+}
+
+func aborted(s *Snapshot) { s.Worker.Operation.Aborted = true }
+
+func both(first, second func(*Snapshot)) func(*Snapshot) {
+	return func(s *Snapshot) { first(s); second(s) }
+}
+
+func rebooted(s *Snapshot) { s.Observed.BootID = 8 }
+
+// Guards against a stop before the worker is idle and acknowledged, a call
+// without a durable intent, and an abort that is lost or cuts a reboot short.
+func TestNextStep(t *testing.T) {
+	inPool := func(pool string) func(*Snapshot) { return func(s *Snapshot) { s.Worker.Pool = pool } }
+	busy := func(requests, tasks int) func(*Snapshot) {
+		return func(s *Snapshot) { s.Observed.Requests, s.Observed.Tasks = requests, tasks }
+	}
+	last := func(operation string) func(*Snapshot) { return func(s *Snapshot) { s.Observed.Operation = operation } }
+	cases := []struct {
+		name   string
+		kind   OperationKind
+		state  State
+		change func(*Snapshot)
+		want   Step
+	}{
+		{"intent not durable", OperationMaintain, Draining, func(s *Snapshot) { s.Durable = false }, wait(ReasonCommitPending)},
+		{"unsettled call", OperationMaintain, Rebooting, both(aborted, func(s *Snapshot) { s.CallUnsettled = true }), wait(ReasonCallUnsettled)},
+		{"no answer", OperationMaintain, Draining, func(s *Snapshot) { s.Observed = nil }, wait(ReasonNoObservation)},
+		{"unknown status", OperationMaintain, Draining, status("odd"), wait(ReasonUnexpectedStatus)},
+		{"gateways", OperationMaintain, Draining, both(status(StatusLive), func(s *Snapshot) { s.GatewaysAcknowledged = false }), wait(ReasonAcknowledgement)},
+		{"lease short", OperationMaintain, Draining, both(status(StatusLive), func(s *Snapshot) { s.DisruptionAllowed = false }), wait(ReasonNotAllowed)},
+		{"drain", OperationMaintain, Draining, status(StatusLive), Step{Kind: StepCall, Call: Call{CallDrain, "w1", "", "op1/drain/7"}}},
+		{"drain rejected", OperationMaintain, Draining, both(status(StatusLive), func(s *Snapshot) { s.Rejected = CallDrain }), commit(Returning, ReasonRejected)},
+		{"requests", OperationMaintain, Draining, busy(1, 0), wait(ReasonRequests)},
+		{"tasks", OperationMaintain, Draining, busy(0, 1), wait(ReasonTasks)},
+		{"drained", OperationMaintain, Draining, nil, commit(Drained, ReasonAdvanced)},
+		{"abort draining", OperationMaintain, Draining, aborted, commit(Returning, ReasonAborted)},
+		{"down", OperationMaintain, Draining, status(StatusDown), Step{Kind: StepFail, State: Failed, Reason: ReasonWorkerDown}},
+		{"leaving", OperationMaintain, Draining, status(StatusLeaving), Step{Kind: StepFinish, State: Leaving, Reason: ReasonWorkerLeaving}},
+		{"reboot intent", OperationMaintain, Drained, nil, commit(Rebooting, ReasonAdvanced)},
+		{"drained but live", OperationMaintain, Drained, status(StatusLive), commit(Draining, ReasonUndrained)},
+		{"drained but busy", OperationMove, Drained, busy(1, 0), wait(ReasonRequests)},
+		{"held", OperationDrain, Drained, nil, wait(ReasonHeld)},
+		{"held while down", OperationDrain, Drained, status(StatusDown), wait(ReasonHeld)},
+		{"returned by an operator", OperationDrain, Drained, aborted, commit(Returning, ReasonAborted)},
+		{"move", OperationMove, Drained, nil, Step{Kind: StepCommit, State: Returning, Reason: ReasonAdvanced, Pool: "spare"}},
+		{"abort move", OperationMove, Drained, aborted, commit(Returning, ReasonAborted)},
+		{"reboot", OperationMaintain, Rebooting, nil, Step{Kind: StepCall, Call: Call{CallReboot, "w1", "", "op1/reboot/7"}}},
+		{"reboot while busy", OperationMaintain, Rebooting, busy(0, 1), wait(ReasonTasks)},
+		{"reboot without lease", OperationMaintain, Rebooting, func(s *Snapshot) { s.DisruptionAllowed = false }, wait(ReasonNotAllowed)},
+		{"reboot sent", OperationMaintain, Rebooting, last("op1/reboot/7"), wait(ReasonRebooting)},
+		{"abort after reboot sent", OperationMaintain, Rebooting, both(aborted, last("op1/reboot/7")), wait(ReasonRebooting)},
+		{"abort before reboot sent", OperationMaintain, Rebooting, aborted, commit(Returning, ReasonAborted)},
+		{"rebooting", OperationMaintain, Rebooting, both(aborted, status(StatusRebooting)), wait(ReasonRebooting)},
+		{"hanging reboot", OperationMaintain, Rebooting, both(status(StatusRebooting), func(s *Snapshot) { s.Now = epochStart.Add(time.Hour) }), Step{Kind: StepFail, State: Failed, Reason: ReasonRebootTimeout}},
+		{"rebooted", OperationMaintain, Rebooting, rebooted, commit(Returning, ReasonAdvanced)},
+		{"rotated", OperationRotate, Rebooting, rebooted, Step{Kind: StepCommit, State: Returning, Reason: ReasonAdvanced, Pool: "spare"}},
+		{"abort rotation after reboot", OperationRotate, Rebooting, both(aborted, rebooted), commit(Returning, ReasonAborted)},
+		{"rotation came back live", OperationRotate, Rebooting, both(status(StatusLive), rebooted), commit(Returning, ReasonUndrained)},
+		{"assign", OperationMove, Returning, inPool("spare"), Step{Kind: StepCall, Call: Call{CallAssign, "w1", "spare", "op1/assign/7"}}},
+		{"assigned", OperationMove, Returning, both(inPool("spare"), last("op1/assign/7")), Step{Kind: StepCall, Call: Call{CallUndrain, "w1", "", "op1/undrain/7"}}},
+		{"undrain during store outage", OperationMaintain, Returning, func(s *Snapshot) { s.DisruptionAllowed = false }, Step{Kind: StepCall, Call: Call{CallUndrain, "w1", "", "op1/undrain/7"}}},
+		{"undrain without lease", OperationMaintain, Returning, func(s *Snapshot) { s.CallAllowed = false }, wait(ReasonNotAllowed)},
+		{"undrain rejected", OperationMaintain, Returning, func(s *Snapshot) { s.Rejected = CallUndrain }, Step{Kind: StepFail, State: Failed, Reason: ReasonRejected}},
+		{"finished", OperationMaintain, Returning, status(StatusLive), Step{Kind: StepFinish, State: Serving, Reason: ReasonDone}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := snapshot(c.kind, c.state, c.change)
+			got := NextStep(s)
+			got.BootID = 0
+			if got != c.want {
+				t.Fatalf("NextStep = %+v, want %+v", got, c.want)
+			}
+			if got.State != "" && !CanTransition(s.Worker.State, got.State) {
+				t.Fatalf("step changes %s to %s, which the state machine refuses", s.Worker.State, got.State)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fleet/tables.go
@@ -0,0 +1,233 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// WorkerRow is a worker in the tables. Its operation is a row of the operations
+// table; the Operation field of the embedded document row stays nil.
+type WorkerRow struct {
+	Worker
+	OperationID table.ID // zero without an operation
+	// ChangeRevision is the document revision that carries the last change.
+	ChangeRevision uint64
+	// MissingSince is the first poll whose list lacked the worker. It is not
+	// persisted: after a takeover the period starts again.
+	MissingSince time.Time
+}
+
+// Available reports whether the worker counts towards the budget of its pool.
+// An intended operation makes it unavailable.
+func (w *WorkerRow) Available() bool { return w.State.Available() && w.OperationID == 0 }
+
+// PoolRow is a pool that has or had workers.
+type PoolRow struct {
+	Name     string
+	Borrowed int // spare workers that moved in and were not replaced in the spare pool yet
+}
+
+// RackKey identifies a rack of the site.
+type RackKey struct{ AvailabilityZone, Rack string }
+
+// RackRow is a rack that has or had workers.
+type RackRow struct{ RackKey }
+
+// OperationRow is an operation in progress on one worker.
+type OperationRow struct {
+	Operation
+	Worker table.ID
+}
+
+// Tables is the state of fleet control. The control goroutine owns it.
+type Tables struct {
+	Epoch      uint64
+	Revision   uint64 // last revision known to be in the store
+	Workers    table.Table[WorkerRow]
+	Pools      table.Table[PoolRow]
+	Racks      table.Table[RackRow]
+	Operations table.Table[OperationRow]
+	Wave       *Wave
+
+	inFlight uint64 // revision of the write in progress, zero without one
+	dirty    bool
+	workers  table.Index[string]
+	pools    table.Index[string]
+	racks    table.Index[RackKey]
+	byPool   table.MultiIndex[string]
+	byRack   table.MultiIndex[RackKey]
+}
+
+// Load fills new tables from a document of the store.
+func Load(doc *Document) *Tables {
+	t := &Tables{Epoch: doc.Epoch, Revision: doc.Revision}
+	for i := range doc.Workers {
+		t.insert(doc.Workers[i], doc.Revision)
+	}
+	for name, count := range doc.Borrowed {
+		t.pool(name).Borrowed = count
+	}
+	if doc.Wave != nil {
+		t.Wave = cloneWave(doc.Wave)
+	}
+	return t
+}
+
+func cloneWave(wave *Wave) *Wave {
+	clone := *wave
+	clone.Pools = slices.Clone(wave.Pools)
+	clone.Failed = slices.Clone(wave.Failed)
+	return &clone
+}
+
+// insert adds a row. Rows that are loaded carry the revision of their document.
+func (t *Tables) insert(worker Worker, revision uint64) *WorkerRow {
+	operation := worker.Operation
+	worker.Operation = nil
+	id := t.Workers.Insert(WorkerRow{Worker: worker, ChangeRevision: revision})
+	t.workers.Put(worker.ID, id)
+	t.pool(worker.Pool)
+	t.byPool.Add(worker.Pool, id)
+	key := RackKey{worker.AvailabilityZone, worker.Rack}
+	if _, ok := t.racks.Get(key); !ok {
+		t.racks.Put(key, t.Racks.Insert(RackRow{key}))
+	}
+	t.byRack.Add(key, id)
+	row := t.Workers.Get(id)
+	if operation != nil {
+		row.OperationID = t.Operations.Insert(OperationRow{Operation: *operation, Worker: id})
+	}
+	return row
+}
+
+func (t *Tables) pool(name string) *PoolRow {
+	id, ok := t.pools.Get(name)
+	if !ok {
+		id = t.Pools.Insert(PoolRow{Name: name})
+		t.pools.Put(name, id)
+	}
+	return t.Pools.Get(id)
+}
+
+// Document returns the tables as a document with workers ordered by ID.
+func (t *Tables) Document() Document {
+	doc := Document{Epoch: t.Epoch, Revision: t.Revision, Workers: make([]Worker, 0, t.Workers.Len())}
+	for id := range t.Workers.All() {
+		doc.Workers = append(doc.Workers, t.documentRow(id))
+	}
+	slices.SortFunc(doc.Workers, func(a, b Worker) int { return strings.Compare(a.ID, b.ID) })
+	for _, pool := range t.Pools.All() {
+		if pool.Borrowed == 0 {
+			continue
+		}
+		if doc.Borrowed == nil {
+			doc.Borrowed = map[string]int{}
+		}
+		doc.Borrowed[pool.Name] = pool.Borrowed
+	}
+	if t.Wave != nil {
+		doc.Wave = cloneWave(t.Wave)
+	}
+	return doc
+}
+
+func (t *Tables) documentRow(id table.ID) Worker {
+	row := t.Workers.Get(id)
+	worker := row.Worker
+	if operation := t.Operations.Get(row.OperationID); operation != nil {
+		clone := operation.Operation
+		worker.Operation = &clone
+	}
+	return worker
+}
+
+// Worker returns the row of a worker, or nil if the fleet has no such worker.
+// The pointer is valid until the next worker is added.
+func (t *Tables) Worker(id string) *WorkerRow {
+	rowID, ok := t.workers.Get(id)
+	if !ok {
+		return nil
+	}
+	return t.Workers.Get(rowID)
+}
+
+// Operation returns the operation in progress on the worker, or nil.
+func (t *Tables) Operation(row *WorkerRow) *OperationRow { return t.Operations.Get(row.OperationID) }
+
+// WorkersOfPool returns the IDs of the pool's workers. The caller must not keep
+// or modify the slice.
+func (t *Tables) WorkersOfPool(pool string) []table.ID { return t.byPool.Get(pool) }
+
+// WorkersOfRack returns the IDs of the rack's workers. The caller must not keep
+// or modify the slice.
+func (t *Tables) WorkersOfRack(key RackKey) []table.ID { return t.byRack.Get(key) }
+
+// Borrowed returns the number of spare workers that the pool owes.
+func (t *Tables) Borrowed(pool string) int {
+	if id, ok := t.pools.Get(pool); ok {
+		return t.Pools.Get(id).Borrowed
+	}
+	return 0
+}
+
+// remove deletes the worker with its operation.
+func (t *Tables) remove(row *WorkerRow) {
+	id, _ := t.workers.Get(row.ID)
+	t.Operations.Delete(row.OperationID)
+	t.workers.Delete(row.ID)
+	t.byPool.Remove(row.Pool, id)
+	t.byRack.Remove(RackKey{row.AvailabilityZone, row.Rack}, id)
+	t.Workers.Delete(id)
+	t.dirty = true
+}
+
+// setPool moves the row to another pool.
+func (t *Tables) setPool(row *WorkerRow, pool string) {
+	id, _ := t.workers.Get(row.ID)
+	t.byPool.Remove(row.Pool, id)
+	row.Pool = pool
+	t.pool(pool)
+	t.byPool.Add(pool, id)
+}
+
+// NextRevision is the revision of the write that will carry changes made now.
+func (t *Tables) NextRevision() uint64 { return max(t.Revision, t.inFlight) + 1 }
+
+// Touch marks a change of the wave or of a worker that the next write carries.
+func (t *Tables) Touch() { t.dirty = true }
+
+func (t *Tables) touchRow(row *WorkerRow) {
+	row.ChangeRevision = t.NextRevision()
+	t.dirty = true
+}
+
+// Durable reports whether the last change of the row is in the store.
+func (t *Tables) Durable(row *WorkerRow) bool { return row.ChangeRevision <= t.Revision }
+
+// BeginCommit returns the document to write, or false if nothing changed or a
+// write is in progress. Changes made until EndCommit go into the next write.
+func (t *Tables) BeginCommit() (Document, bool) {
+	if !t.dirty || t.inFlight != 0 {
+		return Document{}, false
+	}
+	t.inFlight = t.NextRevision()
+	t.dirty = false
+	doc := t.Document()
+	doc.Revision = t.inFlight
+	return doc, true
+}
+
+// EndCommit records the result of the write in progress. A write that is known
+// not to have happened is repeated with the changes made since. After a lost
+// race or while the result is unknown, the caller loads the stored document.
+func (t *Tables) EndCommit(written bool) {
+	if written {
+		t.Revision = t.inFlight
+	} else {
+		t.dirty = true
+	}
+	t.inFlight = 0
+}
--- /dev/null
+++ b/fleet/tables_test.go
@@ -0,0 +1,140 @@
+package fleet
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+)
+
+func testTables() *Tables {
+	return Load(&Document{Epoch: 3, Revision: 10, Borrowed: map[string]int{"a": 1}, Workers: []Worker{
+		{ID: "w1", Pool: "a", State: Serving, AvailabilityZone: "z1", Rack: "r1", BootID: 7, Since: epochStart},
+		{ID: "w2", Pool: "spare", State: Serving, AvailabilityZone: "z1", Rack: "r1", BootID: 3, Since: epochStart},
+	}, Wave: &Wave{ID: "wave1", Status: WaveRunning, Width: 1}})
+}
+
+// Guards against loss of operations, the wave or borrowed counts at a takeover.
+func TestDocumentSurvivesLoad(t *testing.T) {
+	tables := testTables()
+	if err := tables.StartOperation(Start{Operation: "op1", Kind: OperationMove, Worker: "w2", ToPool: "a", Wave: "wave1"}, epochStart); err != nil {
+		t.Fatal(err)
+	}
+	doc := tables.Document()
+	if again := Load(&doc).Document(); !reflect.DeepEqual(doc, again) {
+		t.Fatalf("document changed:\n%+v\n%+v", doc, again)
+	}
+	if operation := doc.Workers[1].Operation; operation == nil || operation.StartRevision != 11 || operation.BootID != 3 {
+		t.Fatalf("operation = %+v, want start revision 11 and boot 3", operation)
+	}
+}
+
+// Guards against a platform call for an intent that only a later write carries.
+func TestChangeDuringWriteIsNotDurable(t *testing.T) {
+	tables := testTables()
+	start := func(worker string) {
+		if err := tables.StartOperation(Start{Operation: worker, Kind: OperationMaintain, Worker: worker}, epochStart); err != nil {
+			t.Fatal(err)
+		}
+	}
+	start("w1")
+	if doc, ok := tables.BeginCommit(); !ok || doc.Revision != 11 {
+		t.Fatalf("BeginCommit = revision %d, %v", doc.Revision, ok)
+	}
+	start("w2")
+	tables.EndCommit(true)
+	if !tables.Durable(tables.Worker("w1")) || tables.Durable(tables.Worker("w2")) {
+		t.Fatal("want w1 durable and w2 pending")
+	}
+	if doc, ok := tables.BeginCommit(); !ok || doc.Revision != 12 {
+		t.Fatalf("second BeginCommit = revision %d, %v", doc.Revision, ok)
+	}
+	tables.EndCommit(false)
+	if doc, ok := tables.BeginCommit(); !ok || doc.Revision != 12 {
+		t.Fatalf("repeated BeginCommit = revision %d, %v", doc.Revision, ok)
+	}
+}
+
+// Guards against a second operation on a worker and against untyped refusals.
+func TestStartOperationRefuses(t *testing.T) {
+	tables := testTables()
+	start := Start{Operation: "op1", Kind: OperationMaintain, Worker: "w1"}
+	if err := tables.StartOperation(start, epochStart); err != nil {
+		t.Fatal(err)
+	}
+	var refused *RequestError
+	if err := tables.StartOperation(start, epochStart); !errors.As(err, &refused) || refused.Reason != ReasonBusy {
+		t.Fatalf("second start = %v, want %s", err, ReasonBusy)
+	}
+	var transition *TransitionError
+	if err := tables.ApplyStep("w1", Step{Kind: StepCommit, State: Serving}, epochStart); !errors.As(err, &transition) {
+		t.Fatalf("Draining to Serving = %v, want a TransitionError", err)
+	}
+}
+
+// Guards against a borrowed slot that is forgotten or given back twice.
+func TestBorrowedCountFollowsPoolChanges(t *testing.T) {
+	tables := testTables()
+	run := func(start Start) {
+		if err := tables.StartOperation(start, epochStart); err != nil {
+			t.Fatal(err)
+		}
+		for _, step := range []Step{
+			{Kind: StepCommit, State: Drained},
+			{Kind: StepCommit, State: Returning, Pool: start.ToPool},
+			{Kind: StepFinish, State: Serving, BootID: 99},
+		} {
+			if err := tables.ApplyStep(start.Worker, step, epochStart); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	run(Start{Operation: "op1", Kind: OperationMove, Worker: "w2", ToPool: "a", Wave: "wave1"})
+	if tables.Borrowed("a") != 2 || tables.Wave.Moves != 1 {
+		t.Fatalf("after the move: borrowed %d, moves %d", tables.Borrowed("a"), tables.Wave.Moves)
+	}
+	run(Start{Operation: "op2", Kind: OperationRotate, Worker: "w1", ToPool: "spare", Wave: "wave1"})
+	if tables.Borrowed("a") != 1 || tables.Wave.Moves != 1 || tables.Wave.Clean != 1 || tables.Wave.Width != 2 {
+		t.Fatalf("after the rotation: borrowed %d, wave %+v", tables.Borrowed("a"), tables.Wave)
+	}
+	if len(tables.WorkersOfPool("spare")) != 1 || len(tables.WorkersOfPool("a")) != 1 {
+		t.Fatal("a worker is in no pool or in two")
+	}
+}
+
+// Guards against a stale list that undoes newer knowledge and against removal
+// after a single truncated list.
+func TestReconcile(t *testing.T) {
+	tables := testTables()
+	live := func(worker string, boot int64, status Status) Observation {
+		return Observation{Worker: worker, Pool: "a", AvailabilityZone: "z1", Rack: "r1", Status: status, BootID: boot}
+	}
+	now := epochStart.Add(time.Hour)
+	stale := tables.Reconcile([]Observation{live("w1", 6, StatusDown), live("w2", 3, StatusLive)}, now)
+	if len(stale.Changes) != 0 || len(stale.Verify) != 0 {
+		t.Fatalf("row of an earlier boot was used: %+v", stale)
+	}
+	contradiction := tables.Reconcile([]Observation{live("w1", 7, StatusDown), live("w2", 3, StatusLive)}, now)
+	if tables.Worker("w1").State != Serving || len(contradiction.Verify) != 1 {
+		t.Fatalf("list changed a worker without verification: %+v", contradiction)
+	}
+	down := live("w1", 7, StatusDown)
+	if _, ok := tables.Observe(&down, now); !ok || tables.Worker("w1").State != Suspected {
+		t.Fatal("verified worker that is down is not suspected")
+	}
+	if _, ok := tables.Observe(&down, now.Add(FailPeriod)); !ok || tables.Worker("w1").State != Failed {
+		t.Fatal("worker that stays down is not failed")
+	}
+	back := live("w1", 8, StatusDraining)
+	if _, ok := tables.Observe(&back, now.Add(2*FailPeriod)); !ok || tables.Worker("w1").State != Returning {
+		t.Fatal("worker that came back drained is not returned to service")
+	}
+	tables.Reconcile([]Observation{live("w1", 8, StatusLive), live("w3", 1, StatusLive)}, now)
+	if tables.Worker("w2") == nil || tables.Worker("w3") == nil {
+		t.Fatal("first list without w2 removed it, or w3 was not added")
+	}
+	gone := tables.Reconcile([]Observation{live("w1", 8, StatusLive), live("w3", 1, StatusLeaving)}, now.Add(MissingPeriod))
+	if tables.Worker("w2") != nil || tables.Worker("w3").State != Leaving {
+		t.Fatalf("w2 is still there or w3 is not leaving: %+v", gone)
+	}
+}
