--- /dev/null
+++ b/controller/effects.go
@@ -0,0 +1,62 @@
+package controller
+
+import (
+	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/policy"
+	"github.com/waxwingbridge/waxwingbridge/store"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// Outbound holds the effects of a tick, besides those of the peer exchange and
+// of job placement, which have tables of their own.
+type Outbound struct {
+	Claims    table.Outbound[ClaimLeader]
+	Releases  table.Outbound[ReleaseLeader]
+	Loads     table.Outbound[LoadState]
+	Fleets    table.Outbound[WriteFleet]
+	Configs   table.Outbound[WriteConfig]
+	Histories table.Outbound[RecordHistory]
+	Calls     table.Outbound[CallPlatform]
+	Questions table.Outbound[AskWorker]
+	TaskLists table.Outbound[ListTasks]
+	Answers   table.Outbound[Answer]
+}
+
+// ClaimLeader asks to create the leader key under the process's lease.
+type ClaimLeader struct{ Lease store.LeaseID }
+
+// ReleaseLeader asks to delete the own leader key.
+type ReleaseLeader struct{ Revision store.Revision }
+
+// LoadState asks to read the fleet document and all pages of jobs.
+type LoadState struct{}
+
+// WriteFleet asks for a compare-and-swap of the fleet document.
+type WriteFleet struct {
+	Document fleet.Document
+	Revision store.Revision
+}
+
+// WriteConfig asks for a compare-and-swap of the configuration document.
+type WriteConfig struct {
+	Document *policy.Document
+	Revision store.Revision
+}
+
+// RecordHistory asks to add the document to the stored history.
+type RecordHistory struct{ Document *policy.Document }
+
+// CallPlatform asks for a platform call about a worker.
+type CallPlatform struct{ Call fleet.Call }
+
+// AskWorker asks the platform directly about a worker.
+type AskWorker struct{ Worker string }
+
+// ListTasks asks for the platform's list of tasks.
+type ListTasks struct{}
+
+// Answer is the reply to a request. Its Reply channel has room for it.
+type Answer struct {
+	Reply  chan<- Response
+	Result Response
+}
--- /dev/null
+++ b/controller/leadership.go
@@ -0,0 +1,122 @@
+package controller
+
+import (
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/node"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// campaign claims the leader key when no controller holds it.
+func campaign(s *State, tick engine.Tick) {
+	lead := &s.Lead
+	if lead.phase != standby || tick.Now.Before(lead.retryAt) || !s.storeReachable(tick.Now) {
+		return
+	}
+	if s.View.Leader.Revision != 0 || s.View.Lease == 0 || s.View.LeaseDeadline.Sub(tick.Now) <= callTimeout {
+		return
+	}
+	lead.phase = claiming
+	s.Out.Claims.Add(ClaimLeader{Lease: s.View.Lease})
+}
+
+func (e LeaderClaimed) apply(s *State, tick engine.Tick) {
+	if s.Lead.phase != claiming {
+		return
+	}
+	if e.Err != nil {
+		s.Lead.phase, s.Lead.retryAt = standby, tick.Now.Add(claimRetry)
+		return
+	}
+	s.Lead = leadership{phase: loading, leaderRevision: e.Revision, quietUntil: tick.Now.Add(takeoverQuiet)}
+	s.Out.Loads.Add(LoadState{})
+}
+
+func (e StateLoaded) apply(s *State, tick engine.Tick) {
+	if s.Lead.phase != loading {
+		return
+	}
+	if e.Err != nil {
+		s.Lead.steppingDown = "state-not-read"
+		s.View.Log(events.StoreUnavailable, events.Err(e.Err))
+		return
+	}
+	doc := e.Fleet
+	if doc == nil {
+		doc = &fleet.Document{}
+	}
+	s.Fleet = fleet.Load(doc)
+	s.Fleet.Epoch = doc.Epoch + 1
+	s.Fleet.Touch()
+	s.fleetStore = e.FleetRevision
+	s.Lead.phase = fencing
+	s.changed()
+	placement.Apply(s.Jobs, tick, placement.Takeover{Epoch: s.Fleet.Epoch, Pages: e.Pages, QuietUntil: s.Lead.quietUntil})
+}
+
+// retreat ends the active role when the lease has lapsed, another controller
+// wrote, or a step of the takeover failed.
+func retreat(s *State, tick engine.Tick) {
+	lead := &s.Lead
+	if lead.phase == standby || lead.phase == claiming {
+		return
+	}
+	reason := lead.steppingDown
+	switch {
+	case reason != "":
+	case !tick.Now.Before(s.View.LeaseDeadline):
+		reason = "lease-lapsed"
+	case s.View.Leader.Revision > lead.leaderRevision:
+		reason = "leader-replaced"
+	case s.Jobs.Fenced():
+		reason = "job-page-fenced"
+	default:
+		return
+	}
+	s.View.Log(events.ControllerInactive, events.F("reason", reason), events.F("phase", lead.phase.String()))
+	s.Out.Releases.Add(ReleaseLeader{Revision: lead.leaderRevision})
+	s.Lead = leadership{phase: standby, retryAt: tick.Now.Add(claimRetry)}
+	s.Fleet = nil
+	s.listMerged = tick.Now
+	s.observations.Clear()
+	s.observationIndex = table.Index[string]{}
+	s.failRequests(tick)
+	placement.Apply(s.Jobs, tick, placement.Deactivated{})
+}
+
+// commitFleet writes the fleet document if it changed and no write is under way.
+func commitFleet(s *State, tick engine.Tick) {
+	if s.Fleet == nil || tick.Now.Before(s.commitRetryAt) {
+		return
+	}
+	if doc, ok := s.Fleet.BeginCommit(); ok {
+		s.Out.Fleets.Add(WriteFleet{Document: doc, Revision: s.fleetStore})
+	}
+}
+
+func (e FleetWritten) apply(s *State, tick engine.Tick) {
+	if s.Fleet == nil || e.Document.Epoch != s.Fleet.Epoch {
+		return
+	}
+	switch e.Result.Status {
+	case node.WriteCommitted:
+		s.Fleet.EndCommit(true)
+		s.fleetStore = e.Result.Revision
+		document := e.Document
+		s.View.AdoptFleet(tick, &document)
+		if s.Lead.phase == fencing {
+			s.Lead.phase = active
+			s.View.Log(events.ControllerActive, events.F("epoch", s.Fleet.Epoch), events.F("workers", len(document.Workers)))
+		}
+	case node.WriteNotSent:
+		s.Fleet.EndCommit(false)
+		s.commitRetryAt = tick.Now.Add(commitRetry)
+	case node.WriteConflicted:
+		// Either another controller wrote, or the own write did not arrive and may
+		// still do so. Reading everything anew under a higher epoch covers both.
+		s.View.Log(events.StoreWriteConflict, events.F("key", s.View.Keys.Fleet()), events.Err(e.Result.Err))
+		s.Lead.steppingDown = "fleet-write-conflict"
+	}
+}
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -42,6 +42,7 @@
 	HomesSettled   = Event{403, log.InfoLevel, "homes of idempotency keys settled"}
 	HomesChanged   = Event{404, log.InfoLevel, "homes of idempotency keys changed"}
 	FleetViewStale = Event{405, log.WarnLevel, "fleet view is stale, requests are refused"}
+	PeerRemoved    = Event{407, log.InfoLevel, "peer left"}
 	FleetViewFresh = Event{406, log.InfoLevel, "fleet view is fresh again"}
 )
 
@@ -94,7 +95,7 @@
 		StoreUnavailable, StoreAvailable, StoreWatchLost, StoreWriteUnknown, StoreWriteConflict, StoreBudgetUsedUp,
 		ProcessLeaseLost, ProcessLeaseGranted, StoreValueInvalid,
 		ConfigInForce, ConfigRejected, ConfigOlder, ConfigApplied,
-		PeerJoined, PeerSuspected, PeerRecovered, HomesSettled, HomesChanged, FleetViewStale, FleetViewFresh,
+		PeerJoined, PeerSuspected, PeerRecovered, HomesSettled, HomesChanged, FleetViewStale, FleetViewFresh, PeerRemoved,
 		TargetEjected, TargetReadmitted, TargetLeaving, AnswerDiscarded, ShardInboxFull,
 		ControllerActive, ControllerInactive, OperationStarted, OperationAdvanced, OperationFinished, OperationFailed,
 		DrainSlow, WorkerStateChanged, WaveStarted, WaveHalted, WaveDone, WaveChanged, PlatformUnavailable,
--- a/events/events.go
+++ b/events/events.go
@@ -71,3 +71,13 @@
 	l.Log(event, fields...)
 	panic(event.Message)
 }
+
+// Record is an event that a system decided to log. Systems do no I/O, so they
+// add records to an outbound table and the loop writes them after the tick.
+type Record struct {
+	Event  Event
+	Fields []Field
+}
+
+// Write logs the record.
+func (l *Logger) Write(record Record) { l.Log(record.Event, record.Fields...) }
--- /dev/null
+++ b/node/view.go
@@ -0,0 +1,331 @@
+package node
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/policy"
+	"github.com/waxwingbridge/waxwingbridge/store"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// ListedWorker is the last row of the platform's list about a worker.
+type ListedWorker struct {
+	platform.Worker
+	// StatusSince is the local time at which the list first showed this status.
+	StatusSince time.Time
+}
+
+// View is what a process knows of the site. It is part of the control state of
+// its role and belongs to the control goroutine.
+type View struct {
+	Keys Keys
+	Self Identity
+
+	Config         *policy.Document // nil until known
+	ConfigRevision store.Revision   // of the store value, zero if a peer delivered the document
+	Policy         *policy.Effective
+	nextExpiry     time.Time
+
+	Fleet         *fleet.Document // nil until known
+	FleetRevision store.Revision  // of the store value, zero if a peer delivered the document
+	// FleetChanged holds the local time at which a worker's state last changed in
+	// the fleet document.
+	FleetChanged map[string]time.Time
+
+	Homes  store.Value // undecoded
+	Leader Leader
+
+	StoreConnected bool
+	StoreConfirmed time.Time // the watch had seen every change at this time
+	Lease          store.LeaseID
+	LeaseDeadline  time.Time
+
+	Listed      table.Table[ListedWorker]
+	listedIndex table.Index[string]
+	ListedAt    time.Time // moment before the last answered list call
+	listFailing bool
+
+	Registered       []Identity // as listed in the store; stale while the store is down
+	RegisteredAt     time.Time
+	memberTableKnown bool
+	membersTold      time.Time // RegisteredAt that the peer exchange knows
+
+	Logs table.Outbound[events.Record]
+}
+
+// Leader is the active controller as recorded in the store.
+type Leader struct {
+	Identity Identity
+	Revision store.Revision // zero if there is none
+}
+
+// NewView returns an empty view.
+func NewView(site string, self Identity) *View {
+	return &View{Keys: NewKeys(site), Self: self, FleetChanged: map[string]time.Time{}}
+}
+
+// Log queues a numbered event.
+func (v *View) Log(event events.Event, fields ...events.Field) {
+	v.Logs.Add(events.Record{Event: event, Fields: fields})
+}
+
+// Apply records an event.
+func (v *View) Apply(tick engine.Tick, event Event) {
+	switch e := event.(type) {
+	case SharedValue:
+		v.applyShared(tick, e)
+	case StoreConfirmed:
+		v.confirmStore(e.At)
+	case StoreLost:
+		v.loseStore(e.Err)
+	case PeerDocument:
+		v.applyPeerDocument(tick, e)
+	case WorkersListed:
+		v.applyList(tick, e)
+	case MembersListed:
+		if e.Err == nil {
+			v.Registered, v.RegisteredAt, v.memberTableKnown = e.Members, tick.Now, true
+		}
+	case LeaseChanged:
+		v.Lease, v.LeaseDeadline = e.Lease, e.Deadline
+	}
+}
+
+// MembersKnown reports whether the registrations were read at least once.
+func (v *View) MembersKnown() bool { return v.memberTableKnown }
+
+func (v *View) applyShared(tick engine.Tick, e SharedValue) {
+	switch e.Value.Key {
+	case v.Keys.Config():
+		if !e.Deleted && v.adoptConfig(tick, e.Value.Data) {
+			v.ConfigRevision = e.Value.Revision
+		}
+	case v.Keys.Fleet():
+		if !e.Deleted && v.adoptFleet(tick, e.Value.Data) {
+			v.FleetRevision = e.Value.Revision
+		}
+	case v.Keys.Homes():
+		if !e.Deleted && e.Value.Revision > v.Homes.Revision {
+			v.Homes = e.Value
+		}
+	case v.Keys.Leader():
+		v.applyLeader(e)
+	}
+}
+
+func (v *View) applyLeader(e SharedValue) {
+	if e.Deleted {
+		v.Leader = Leader{}
+		return
+	}
+	var identity Identity
+	if err := json.Unmarshal(e.Value.Data, &identity); err != nil {
+		v.invalidValue(e.Value.Key, err)
+		return
+	}
+	v.Leader = Leader{Identity: identity, Revision: e.Value.Revision}
+}
+
+func (v *View) invalidValue(key string, err error) {
+	v.Log(events.StoreValueInvalid, events.F("key", key), events.Err(err))
+}
+
+// adoptConfig takes a document with a higher revision and reports whether the
+// bytes are those of the document now in force.
+func (v *View) adoptConfig(tick engine.Tick, data []byte) bool {
+	doc, err := policy.Decode(data)
+	if err != nil {
+		v.Log(events.ConfigRejected, events.Err(err))
+		return false
+	}
+	if v.Config != nil && doc.Revision <= v.Config.Revision {
+		if doc.Revision < v.Config.Revision {
+			v.Log(events.ConfigOlder, events.F("revision", doc.Revision), events.F("in_force", v.Config.Revision))
+		}
+		return doc.Revision == v.Config.Revision
+	}
+	v.Config = doc
+	v.resolve(tick.Now)
+	v.Log(events.ConfigInForce, events.F("revision", doc.Revision), events.F("author", doc.Author))
+	return true
+}
+
+func (v *View) resolve(now time.Time) {
+	v.Policy = policy.Resolve(v.Config, now)
+	v.nextExpiry = v.Policy.NextExpiry(now)
+}
+
+// ExpireExceptions resolves the policy anew when an exception has expired.
+func (v *View) ExpireExceptions(tick engine.Tick) {
+	if v.Config != nil && !v.nextExpiry.IsZero() && !tick.Now.Before(v.nextExpiry) {
+		v.resolve(tick.Now)
+	}
+}
+
+// adoptFleet takes a document with a higher revision and reports whether the
+// bytes are those of the document now held.
+func (v *View) adoptFleet(tick engine.Tick, data []byte) bool {
+	doc := new(fleet.Document)
+	if err := json.Unmarshal(data, doc); err != nil {
+		v.invalidValue(v.Keys.Fleet(), err)
+		return false
+	}
+	return v.AdoptFleet(tick, doc)
+}
+
+// AdoptFleet takes a document with a higher revision and reports whether it is
+// the document now held.
+func (v *View) AdoptFleet(tick engine.Tick, doc *fleet.Document) bool {
+	if v.Fleet != nil && doc.Revision <= v.Fleet.Revision {
+		return doc.Revision == v.Fleet.Revision
+	}
+	v.noteFleetChanges(tick.Now, doc)
+	v.Fleet = doc
+	return true
+}
+
+// noteFleetChanges records state changes. The first document records none, so
+// that the platform's list counts against it.
+func (v *View) noteFleetChanges(now time.Time, doc *fleet.Document) {
+	if v.Fleet == nil {
+		return
+	}
+	former := make(map[string]fleet.State, len(v.Fleet.Workers))
+	for i := range v.Fleet.Workers {
+		former[v.Fleet.Workers[i].ID] = v.Fleet.Workers[i].State
+	}
+	for i := range doc.Workers {
+		worker := &doc.Workers[i]
+		if state, ok := former[worker.ID]; !ok || state != worker.State {
+			v.FleetChanged[worker.ID] = now
+		}
+		delete(former, worker.ID)
+	}
+	for id := range former {
+		delete(v.FleetChanged, id)
+	}
+}
+
+func (v *View) applyPeerDocument(tick engine.Tick, e PeerDocument) {
+	switch e.Kind {
+	case DocumentConfig:
+		v.adoptConfig(tick, e.Document)
+	case DocumentFleet:
+		v.adoptFleet(tick, e.Document)
+	case DocumentHomes:
+	}
+}
+
+func (v *View) confirmStore(at time.Time) {
+	if !v.StoreConnected {
+		v.StoreConnected = true
+		v.Log(events.StoreAvailable)
+	}
+	if at.After(v.StoreConfirmed) {
+		v.StoreConfirmed = at
+	}
+}
+
+func (v *View) loseStore(err error) {
+	if v.StoreConnected {
+		v.StoreConnected = false
+		v.Log(events.StoreWatchLost, events.Err(err))
+	}
+}
+
+func (v *View) applyList(tick engine.Tick, e WorkersListed) {
+	if e.Err != nil {
+		if !v.listFailing {
+			v.Log(events.PlatformUnavailable, events.Err(e.Err))
+		}
+		v.listFailing = true
+		return
+	}
+	if v.listFailing {
+		v.Log(events.PlatformAvailable)
+	}
+	v.listFailing = false
+	if e.Asked.After(v.ListedAt) {
+		v.ListedAt = e.Asked
+	}
+	seen := make(map[string]bool, len(e.Workers))
+	for i := range e.Workers {
+		seen[e.Workers[i].ID] = true
+		v.mergeListed(tick.Now, &e.Workers[i])
+	}
+	for id, row := range v.Listed.All() {
+		if !seen[row.ID] {
+			v.listedIndex.Delete(row.ID)
+			v.Listed.Delete(id)
+		}
+	}
+}
+
+func (v *View) mergeListed(now time.Time, worker *platform.Worker) {
+	id, ok := v.listedIndex.Get(worker.ID)
+	if !ok {
+		id = v.Listed.Insert(ListedWorker{Worker: *worker, StatusSince: now})
+		v.listedIndex.Put(worker.ID, id)
+		return
+	}
+	row := v.Listed.Get(id)
+	if row.Status != worker.Status {
+		row.StatusSince = now
+	}
+	row.Worker = *worker
+}
+
+// ListedWorker returns the last listed row of a worker, or nil.
+func (v *View) ListedWorker(id string) *ListedWorker {
+	row, ok := v.listedIndex.Get(id)
+	if !ok {
+		return nil
+	}
+	return v.Listed.Get(row)
+}
+
+// PlatformReachable reports whether the last list call was answered.
+func (v *View) PlatformReachable() bool { return !v.listFailing && !v.ListedAt.IsZero() }
+
+// FleetConfirmed returns the latest time at which the store watch or the
+// platform's list confirmed the view of the fleet. Peers are the caller's concern.
+func (v *View) FleetConfirmed() time.Time {
+	if v.ListedAt.After(v.StoreConfirmed) {
+		return v.ListedAt
+	}
+	return v.StoreConfirmed
+}
+
+// Usable reports whether a worker of the fleet document may receive new
+// requests. The platform's list counts against it when it calls the worker
+// leaving, or when it changed to another status after the document's last
+// change of that worker; otherwise the lagging list would keep a worker that
+// returned to service without requests.
+func (v *View) Usable(worker *fleet.Worker) bool {
+	if !worker.State.Available() || worker.Operation != nil {
+		return false
+	}
+	listed := v.ListedWorker(worker.ID)
+	if listed == nil || listed.Status == platform.WorkerLive || listed.BootID < worker.BootID {
+		return true
+	}
+	if listed.Status == platform.WorkerLeaving {
+		return false
+	}
+	return !listed.StatusSince.After(v.FleetChanged[worker.ID])
+}
+
+// MemberKeyOwner returns the incarnation of a registration key, or false for
+// another key.
+func (v *View) MemberKeyOwner(key string) (string, bool) {
+	if !strings.HasPrefix(key, v.Keys.Members()) {
+		return "", false
+	}
+	return v.Keys.Incarnation(key), true
+}
