--- /dev/null
+++ b/membership/replica.go
@@ -0,0 +1,104 @@
+package membership
+
+import (
+	"iter"
+	"slices"
+
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// Replica holds the values that peers told, one row per peer and name.
+type Replica[V any] struct {
+	rows   table.Table[ReplicaRow[V]]
+	byKey  table.Index[replicaKey]
+	byPeer table.MultiIndex[table.ID]
+	byName table.MultiIndex[string]
+}
+
+// ReplicaRow is one value that one peer told.
+type ReplicaRow[V any] struct {
+	Peer  table.ID
+	Name  string
+	Value V
+}
+
+type replicaKey struct {
+	peer table.ID
+	name string
+}
+
+// Get returns what the peer told under the name.
+func (r *Replica[V]) Get(peer table.ID, name string) (V, bool) {
+	if id, ok := r.byKey.Get(replicaKey{peer, name}); ok {
+		return r.rows.Get(id).Value, true
+	}
+	var zero V
+	return zero, false
+}
+
+// Named iterates over the rows of all peers under the name, in the order in
+// which they were first told.
+func (r *Replica[V]) Named(name string) iter.Seq[*ReplicaRow[V]] {
+	return r.all(r.byName.Get(name))
+}
+
+// OfPeer iterates over the rows of a peer.
+func (r *Replica[V]) OfPeer(peer table.ID) iter.Seq[*ReplicaRow[V]] {
+	return r.all(r.byPeer.Get(peer))
+}
+
+// All iterates over the rows of all peers.
+func (r *Replica[V]) All() iter.Seq2[table.ID, *ReplicaRow[V]] { return r.rows.All() }
+
+func (r *Replica[V]) all(ids []table.ID) iter.Seq[*ReplicaRow[V]] {
+	return func(yield func(*ReplicaRow[V]) bool) {
+		for _, id := range ids {
+			if !yield(r.rows.Get(id)) {
+				return
+			}
+		}
+	}
+}
+
+// merge applies a delta, or replaces everything of the peer if it is complete.
+func (r *Replica[V]) merge(peer table.ID, delta Delta[V], complete bool) {
+	if complete {
+		r.clear(peer)
+	}
+	for _, entry := range delta.Set {
+		r.put(peer, entry)
+	}
+	for _, name := range delta.Removed {
+		r.remove(peer, name)
+	}
+}
+
+func (r *Replica[V]) put(peer table.ID, entry Entry[V]) {
+	key := replicaKey{peer, entry.Name}
+	if id, ok := r.byKey.Get(key); ok {
+		r.rows.Get(id).Value = entry.Value
+		return
+	}
+	id := r.rows.Insert(ReplicaRow[V]{peer, entry.Name, entry.Value})
+	r.byKey.Put(key, id)
+	r.byPeer.Add(peer, id)
+	r.byName.Add(entry.Name, id)
+}
+
+func (r *Replica[V]) remove(peer table.ID, name string) {
+	key := replicaKey{peer, name}
+	id, ok := r.byKey.Get(key)
+	if !ok {
+		return
+	}
+	r.byKey.Delete(key)
+	r.byPeer.Remove(peer, id)
+	r.byName.Remove(name, id)
+	r.rows.Delete(id)
+}
+
+func (r *Replica[V]) clear(peer table.ID) {
+	for _, id := range slices.Clone(r.byPeer.Get(peer)) {
+		r.remove(peer, r.rows.Get(id).Name)
+	}
+}
--- /dev/null
+++ b/membership/types.go
@@ -0,0 +1,182 @@
+// Package membership keeps the state that the processes of a site exchange: the
+// peers with their incarnations, the revisions they report, and what they tell
+// about demand, leaving workers and slot grants. It decides whom to contact,
+// what to say and which documents to fetch. It does no I/O: messages arrive with
+// Receive, and effects leave through outbound tables.
+//
+// A wrong entry in the peer table costs work and never safety.
+package membership
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// Periods of the exchange.
+const (
+	Interval     = time.Second            // between two messages to one peer
+	SuspectAfter = 3 * time.Second        // of silence
+	RemoveAfter  = 30 * time.Second       // of silence
+	GrantLease   = 3 * time.Second        // of slot grants, from the granter's last message
+	VouchPeriod  = 4 * time.Second        // a gateway sends only while its fleet view was confirmed within this period
+	VouchMargin  = time.Second            // for clock rates and scheduling
+	FetchDelay   = 300 * time.Millisecond // the store's watch usually delivers a document before a peer has to be asked
+	FetchTimeout = 3 * time.Second        // of one fetch
+	FetchRetry   = time.Second            // after a fetch that did not help
+)
+
+// FullMeshLimit is the number of peers up to which a process exchanges with all
+// of them.
+const FullMeshLimit = 12
+
+// The side that does not usually dial does so after these periods: the first
+// covers a peer that cannot dial, the second one whose answers are lost.
+const (
+	dialAfterSilence     = Interval * 3 / 2
+	dialAfterUnconfirmed = Interval * 5 / 2
+)
+
+// sendingLapse is the silence after which a gateway has lost its right to send.
+const sendingLapse = VouchPeriod + VouchMargin
+
+// Role is what a process does.
+type Role string
+
+// The roles.
+const (
+	Gateway    Role = "gateway"
+	Controller Role = "controller"
+)
+
+// Member identifies a process.
+type Member struct {
+	Incarnation      string // unique per start of a process
+	Role             Role
+	Address          string // peer address, ip:port
+	AvailabilityZone string
+	CallerAddress    string // HTTP address towards callers or operators
+	Active           bool   // true for the active controller
+}
+
+// DocumentKind names a document that peers can fetch from each other.
+type DocumentKind uint8
+
+// The kinds of document.
+const (
+	DocumentConfig DocumentKind = iota
+	DocumentFleet
+	DocumentHomes
+	documentKinds
+)
+
+// String returns the name for logs.
+func (k DocumentKind) String() string {
+	switch k {
+	case DocumentConfig:
+		return "config"
+	case DocumentFleet:
+		return "fleet"
+	case DocumentHomes:
+		return "homes"
+	default:
+		return "unknown"
+	}
+}
+
+// Revisions holds one revision per kind of document. The revision of the homes
+// document is its epoch. Zero means that none is held.
+type Revisions [documentKinds]uint64
+
+// raise takes over the revisions that are higher.
+func (r *Revisions) raise(other Revisions) {
+	for kind := range r {
+		r[kind] = max(r[kind], other[kind])
+	}
+}
+
+// Told is what a process passes on about another one that it hears directly.
+type Told struct {
+	Member         Member
+	ConfigRevision uint64 // zero while every process hears all others itself
+}
+
+// Entry is a named value of a message.
+type Entry[V any] struct {
+	Name  string
+	Value V
+}
+
+// Delta holds the entries that changed since the base of a message, or all
+// entries if the base is zero.
+type Delta[V any] struct {
+	Set     []Entry[V]
+	Removed []string
+}
+
+// Message is the state that one process tells another.
+type Message struct {
+	Sender       Member
+	Receiver     string // incarnation that the message is for; empty if the sender does not know it
+	Sequence     uint64 // increases with every message of the sender, to whatever peer
+	Acknowledged uint64 // sequence of the receiver's message that the sender merged last
+	Base         uint64 // sequence that the deltas build on; zero means complete
+	Revisions    Revisions
+	FleetEpoch   uint64
+	// FleetConfirmed tells whether FleetAge is known. FleetAge is the time since
+	// the sender's fleet view was last confirmed, when the message was composed.
+	FleetConfirmed bool
+	FleetAge       time.Duration
+	Demand         Delta[uint32]   // waiting and running requests per pool
+	Leaving        Delta[struct{}] // workers that must not receive new work
+	Grants         Delta[uint32]   // slots per worker, granted to the receiver
+	Members        Delta[Told]     // processes that the sender hears directly, by incarnation
+}
+
+// Received is a message that arrived. Token is not zero if the peer waits for
+// an answer; Address is set if the message answers one of ours to that address.
+type Received struct {
+	Message Message
+	Token   uint64
+	Address string
+}
+
+// Send is an effect: deliver a message to an address. The answer is posted back
+// as Received.
+type Send struct {
+	Address string
+	Message Message
+}
+
+// Reply is an effect: answer the call with the token.
+type Reply struct {
+	Token   uint64
+	Message Message
+}
+
+// Fetch is an effect: fetch a document from a peer. The result is posted back,
+// and the owner then calls FetchFinished.
+type Fetch struct {
+	Kind     DocumentKind
+	Peer     table.ID
+	Address  string
+	Revision uint64 // that the peer reported
+}
+
+// ChangeKind says what happened to a peer.
+type ChangeKind uint8
+
+// The kinds of change.
+const (
+	PeerJoined ChangeKind = iota + 1
+	PeerSuspected
+	PeerRecovered
+	PeerReplaced
+	PeerRemoved
+)
+
+// Change is an effect: report a change of the peer table.
+type Change struct {
+	Kind   ChangeKind
+	Member Member
+}
