--- a/controller/effects.go
+++ b/controller/effects.go
@@ -15,7 +15,6 @@
 	Loads     table.Outbound[LoadState]
 	Fleets    table.Outbound[WriteFleet]
 	Configs   table.Outbound[WriteConfig]
-	Histories table.Outbound[RecordHistory]
 	Calls     table.Outbound[CallPlatform]
 	Questions table.Outbound[AskWorker]
 	TaskLists table.Outbound[ListTasks]
@@ -37,15 +36,14 @@
 	Revision store.Revision
 }
 
-// WriteConfig asks for a compare-and-swap of the configuration document.
+// WriteConfig asks to record the base in the history and then for a
+// compare-and-swap of the configuration document.
 type WriteConfig struct {
+	Base     *policy.Document // recorded in the history first
 	Document *policy.Document
 	Revision store.Revision
 }
 
-// RecordHistory asks to add the document to the stored history.
-type RecordHistory struct{ Document *policy.Document }
-
 // CallPlatform asks for a platform call about a worker.
 type CallPlatform struct{ Call fleet.Call }
 
--- a/controller/events.go
+++ b/controller/events.go
@@ -47,11 +47,6 @@
 		Document *policy.Document
 		Result   node.WriteResult
 	}
-	// HistoryRecorded ends RecordHistory.
-	HistoryRecorded struct {
-		Revision policy.Revision
-		Err      error
-	}
 	// PlatformCalled ends CallPlatform.
 	PlatformCalled struct {
 		Call     fleet.Call
--- /dev/null
+++ b/controller/job_performer.go
@@ -0,0 +1,177 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/node"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/store"
+)
+
+// flushJobs hands the effects of job placement to goroutines.
+func (p *performer) flushJobs(out *placement.Outbound) {
+	out.Writes.Drain(func(e placement.WritePage) { p.start(p.writePage(e)) })
+	out.Reads.Drain(func(e placement.ReadPage) { p.start(p.rereadPage(e)) })
+	out.Starts.Drain(func(e placement.StartTask) { p.start(p.startTask(e)) })
+	out.Controls.Drain(func(e placement.ControlTask) { p.start(p.controlTask(e)) })
+	out.Renewals.Drain(func(e placement.RenewTasks) { p.start(p.renewTasks(e)) })
+	out.Answers.Drain(p.answerJob)
+}
+
+func (p *performer) pageKey(index int) string { return p.keys.JobPage(strconv.Itoa(index)) }
+
+func (p *performer) readPage(ctx context.Context, index int) (placement.PageAt, error) {
+	value, err := p.store.Get(ctx, p.pageKey(index))
+	if err != nil || value.Revision == 0 {
+		return placement.PageAt{Page: placement.Page{Index: index}}, err
+	}
+	page, err := pagecodec.Decode(value.Data)
+	return placement.PageAt{Page: page, Revision: int64(value.Revision), WriteID: value.WriteID}, err
+}
+
+// writePage makes one compare-and-swap. Placement itself resolves an unknown
+// result by a read, because it must know whether a submission can still become
+// durable.
+func (p *performer) writePage(e placement.WritePage) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		result := placement.PageResult{Index: e.Page.Index, WriteID: e.WriteID}
+		data, err := pagecodec.Encode(&e.Page)
+		if err != nil {
+			result.Result = placement.WriteNotApplied
+			return JobEvent{result}
+		}
+		ctx, cancel := context.WithTimeout(ctx, node.StoreCallTimeout)
+		defer cancel()
+		put := store.Put{Key: p.pageKey(e.Page.Index), Data: data, WriteID: e.WriteID, Revision: store.Revision(e.Revision)}
+		revision, err := p.store.CompareAndSwap(ctx, put)
+		result.Result, result.Revision = pageResult(err), int64(revision)
+		return JobEvent{result}
+	}
+}
+
+func pageResult(err error) placement.WriteResult {
+	switch {
+	case err == nil:
+		return placement.WriteCommitted
+	case errors.Is(err, store.ErrConflict):
+		return placement.WriteConflict
+	case errors.Is(err, store.ErrUnknown):
+		return placement.WriteUnknown
+	default:
+		return placement.WriteNotApplied
+	}
+}
+
+func (p *performer) rereadPage(e placement.ReadPage) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		value, err := p.getWithTimeout(ctx, p.pageKey(e.Index))
+		return JobEvent{placement.PageRead{
+			Index: e.Index, Failed: err != nil, WriteID: value.WriteID, Revision: int64(value.Revision),
+		}}
+	}
+}
+
+func (p *performer) startTask(e placement.StartTask) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		err := p.platform.StartTask(ctx, platform.TaskSpec{
+			Operation: e.Operation, Job: e.Job, Worker: e.Worker, MilliCores: e.Reserved.MilliCores,
+			MemoryMB: e.Reserved.MemoryMB, Accelerators: e.Reserved.Accelerators, Lease: e.Lease, Payload: e.Payload, Resume: e.Resume,
+		})
+		return JobEvent{placement.StartResult{Operation: e.Operation, Result: startResult(err), Error: errorText(err)}}
+	}
+}
+
+func (p *performer) controlTask(e placement.ControlTask) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		err := p.control(ctx, e)
+		return JobEvent{placement.ControlResult{Operation: e.Operation, Action: e.Action, Result: callResult(err)}}
+	}
+}
+
+func (p *performer) control(ctx context.Context, e placement.ControlTask) error {
+	switch e.Action {
+	case placement.ActionThrottle:
+		return p.platform.ThrottleTask(ctx, e.Operation, true)
+	case placement.ActionRestore:
+		return p.platform.ThrottleTask(ctx, e.Operation, false)
+	case placement.ActionCheckpoint:
+		return p.platform.CheckpointTask(ctx, e.Operation)
+	case placement.ActionStop:
+		return p.platform.StopTask(ctx, e.Operation)
+	default:
+		return platform.ErrRejected
+	}
+}
+
+func callResult(err error) placement.CallResult {
+	switch {
+	case err == nil:
+		return placement.CallDone
+	case errors.Is(err, platform.ErrRejected):
+		return placement.CallRefused
+	case errors.Is(err, platform.ErrNotFound):
+		return placement.CallNotFound
+	default:
+		return placement.CallUnknown
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (p *performer) renewTasks(e placement.RenewTasks) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		_ = p.platform.RenewTasks(ctx, e.Operations, e.Lease) // repeated well before the lease ends
+		return nil
+	}
+}
+
+func (p *performer) listTasks(ctx context.Context) Event {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := time.Now()
+	tasks, err := p.platform.ListTasks(ctx)
+	report := placement.TasksReported{ObservedAt: asked, Tasks: make([]placement.TaskObservation, 0, len(tasks))}
+	for i := range tasks {
+		report.Tasks = append(report.Tasks, taskObservation(&tasks[i]))
+	}
+	return TasksListed{Report: report, Err: err}
+}
+
+var taskStatuses = map[platform.TaskStatus]placement.TaskStatus{
+	platform.TaskRunning: placement.TaskRunning, platform.TaskThrottled: placement.TaskThrottled,
+	platform.TaskCheckpointed: placement.TaskCheckpointed, platform.TaskDone: placement.TaskDone,
+	platform.TaskFailed: placement.TaskFailed, platform.TaskStopped: placement.TaskStopped,
+	platform.TaskLeaseLapsed: placement.TaskLeaseLapsed,
+}
+
+func taskObservation(task *platform.Task) placement.TaskObservation {
+	return placement.TaskObservation{
+		Operation: task.Operation, Status: taskStatuses[task.Status],
+		Used:       placement.Resources{MilliCores: task.UsedMilliCores, MemoryMB: task.UsedMemoryMB},
+		PowerWatts: task.PowerWatts, Error: task.Error,
+	}
+}
+
+// startResult treats an unknown worker as a refusal, since no task was started.
+func startResult(err error) placement.CallResult {
+	if errors.Is(err, platform.ErrNotFound) {
+		return placement.CallRefused
+	}
+	return callResult(err)
+}
--- /dev/null
+++ b/controller/maintenance.go
@@ -0,0 +1,74 @@
+package controller
+
+import (
+	"github.com/waxwingbridge/waxwingbridge/budget"
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/wave"
+)
+
+// sampleDemand keeps the recent demand of the pools for the joint buffer.
+func sampleDemand(s *State, tick engine.Tick) {
+	if !s.Active() || tick.Now.Sub(s.sampleAt) < demandSampleInterval {
+		return
+	}
+	sample := s.totalDemand()
+	if sample == nil {
+		return
+	}
+	s.sampleAt = tick.Now
+	if len(s.demand) == demandSamples {
+		copy(s.demand, s.demand[1:])
+		s.demand = s.demand[:demandSamples-1]
+	}
+	s.demand = append(s.demand, sample)
+}
+
+// planWave starts the disruptions that budgets, demand and failure domains allow now.
+func planWave(s *State, tick engine.Tick) {
+	if !s.Active() || s.View.Policy == nil || s.Fleet.Wave == nil || tick.Now.Before(s.planAt) {
+		return
+	}
+	s.planAt = tick.Now.Add(planInterval)
+	clear(s.waitReasons)
+	for _, decision := range wave.Plan(s.waveView(tick)) {
+		s.applyDecision(decision, tick)
+	}
+}
+
+func (s *State) waveView(tick engine.Tick) *wave.View {
+	return &wave.View{
+		Now: tick.Now, Tables: s.tables(), Effective: s.View.Policy, Demand: s.totalDemand(),
+		Reserve:           budget.JointBuffer(s.tables(), s.View.Policy, s.demand).Required,
+		DisruptionAllowed: s.disruptionAllowed(tick.Now) && s.rebootFitsPowerCap(),
+	}
+}
+
+// rebootFitsPowerCap reports whether the inrush of one more reboot stays below
+// the site's power cap.
+func (s *State) rebootFitsPowerCap() bool {
+	site := s.View.Policy.Site()
+	return site.PowerCapWatts == 0 || s.Jobs.HeadroomWatts() >= site.RebootInrushWatts
+}
+
+func (s *State) applyDecision(decision wave.Decision, tick engine.Tick) {
+	if decision.Kind == wave.DecisionWait {
+		s.waitReasons[decision.Pool] = decision.Reason
+		return
+	}
+	operation := s.newOperationID()
+	if err := wave.Apply(s.Fleet, decision, operation, tick.Now); err != nil {
+		s.View.Log(events.OperationFailed, events.F("worker", decision.Worker), events.F("kind", decision.Kind), events.Err(err))
+		return
+	}
+	s.changed()
+	switch decision.Kind {
+	case wave.DecisionHalt:
+		s.View.Log(events.WaveHalted, events.F("wave", s.Fleet.Wave.ID), events.F("reason", decision.Reason))
+	case wave.DecisionDone:
+		s.View.Log(events.WaveDone, events.F("wave", s.Fleet.Wave.ID), events.F("moves", s.Fleet.Wave.Moves))
+	default:
+		s.View.Log(events.OperationStarted, events.F("worker", decision.Worker), events.F("operation", operation),
+			events.F("kind", decision.Kind), events.F("pool", decision.Pool), events.F("wave", s.Fleet.Wave.ID))
+	}
+}
--- /dev/null
+++ b/controller/performer.go
@@ -0,0 +1,208 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/node"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/policy"
+	"github.com/waxwingbridge/waxwingbridge/store"
+)
+
+// performer carries out the effects of the control loop. Each effect runs on a
+// goroutine of its own; the state allows at most one write per store value, one
+// call per worker and a bounded number of questions at a time.
+type performer struct {
+	ctx      context.Context
+	post     func(context.Context, Event) error
+	store    store.Store
+	platform platform.Platform
+	keys     node.Keys
+	self     node.Identity
+	running  sync.WaitGroup
+}
+
+// start runs the effect and posts its result.
+func (p *performer) start(effect func(context.Context) Event) {
+	p.running.Go(func() {
+		if event := effect(p.ctx); event != nil {
+			_ = p.post(p.ctx, event) // fails only at shutdown
+		}
+	})
+}
+
+// flush hands the effects of a tick to goroutines.
+func (p *performer) flush(s *State, tick engine.Tick) {
+	s.lastTick = tick.Now
+	s.Out.Claims.Drain(func(e ClaimLeader) { p.start(p.claim(e)) })
+	s.Out.Releases.Drain(func(e ReleaseLeader) { p.start(p.release(e)) })
+	s.Out.Loads.Drain(func(LoadState) { p.start(p.load) })
+	s.Out.Fleets.Drain(func(e WriteFleet) { p.start(p.writeFleet(e)) })
+	s.Out.Configs.Drain(func(e WriteConfig) { p.start(p.writeConfig(e)) })
+	s.Out.Calls.Drain(func(e CallPlatform) { p.start(p.call(e)) })
+	s.Out.Questions.Drain(func(e AskWorker) { p.start(p.ask(e)) })
+	s.Out.TaskLists.Drain(func(ListTasks) { p.start(p.listTasks) })
+	s.Out.Answers.Drain(func(e Answer) { e.Reply <- e.Result })
+	p.flushJobs(&s.Jobs.Out)
+}
+
+func (p *performer) claim(e ClaimLeader) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		data, err := json.Marshal(p.self)
+		if err != nil {
+			return LeaderClaimed{Err: err}
+		}
+		put := store.Put{Key: p.keys.Leader(), Data: data, WriteID: node.NewWriteID(), Lease: e.Lease}
+		result := node.Write(ctx, p.store, put)
+		return LeaderClaimed{Revision: result.Revision, Err: result.Err}
+	}
+}
+
+func (p *performer) release(e ReleaseLeader) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, node.StoreCallTimeout)
+		defer cancel()
+		_ = p.store.Delete(ctx, p.keys.Leader(), e.Revision) // the lease ends it otherwise
+		return nil
+	}
+}
+
+// load reads the fleet document and the pages of jobs.
+func (p *performer) load(ctx context.Context) Event {
+	ctx, cancel := context.WithTimeout(ctx, node.StoreCallTimeout)
+	defer cancel()
+	var loaded StateLoaded
+	value, err := p.store.Get(ctx, p.keys.Fleet())
+	if err == nil && value.Revision != 0 {
+		loaded.Fleet, loaded.FleetRevision = new(fleet.Document), value.Revision
+		err = json.Unmarshal(value.Data, loaded.Fleet)
+	}
+	for index := 0; index < placement.PageCount && err == nil; index++ {
+		var page placement.PageAt
+		page, err = p.readPage(ctx, index)
+		loaded.Pages = append(loaded.Pages, page)
+	}
+	loaded.Err = err
+	return loaded
+}
+
+func (p *performer) writeFleet(e WriteFleet) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		data, err := json.Marshal(e.Document)
+		if err != nil {
+			return FleetWritten{Document: e.Document, Result: node.WriteResult{Status: node.WriteConflicted, Err: err}}
+		}
+		put := store.Put{Key: p.keys.Fleet(), Data: data, WriteID: node.NewWriteID(), Revision: e.Revision}
+		return FleetWritten{Document: e.Document, Result: node.Write(ctx, p.store, put)}
+	}
+}
+
+// writeConfig records the base in the history and then stores its successor, so
+// that no accepted document is ever missing from both.
+func (p *performer) writeConfig(e WriteConfig) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		data, err := policy.Encode(e.Document)
+		if err == nil {
+			err = p.recordHistory(ctx, e.Base)
+		}
+		if err != nil {
+			return ConfigWritten{Document: e.Document, Result: node.WriteResult{Status: node.WriteNotSent, Err: err}}
+		}
+		put := store.Put{Key: p.keys.Config(), Data: data, WriteID: e.Document.WriteID, Revision: e.Revision}
+		return ConfigWritten{Document: e.Document, Result: node.Write(ctx, p.store, put)}
+	}
+}
+
+// historyAttempts bounds the races with other controllers that record the same base.
+const historyAttempts = 3
+
+func (p *performer) recordHistory(ctx context.Context, base *policy.Document) error {
+	var err error
+	for range historyAttempts {
+		var value store.Value
+		value, err = p.getWithTimeout(ctx, p.keys.ConfigHistory())
+		if err != nil {
+			return err
+		}
+		var history policy.History
+		if value.Revision != 0 {
+			if history, err = policy.DecodeHistory(value.Data); err != nil {
+				return err
+			}
+		}
+		if _, recorded := history.Find(base.Revision); recorded {
+			return nil
+		}
+		var data []byte
+		if data, err = policy.EncodeHistory(history.Record(base)); err != nil {
+			return err
+		}
+		put := store.Put{Key: p.keys.ConfigHistory(), Data: data, WriteID: node.NewWriteID(), Revision: value.Revision}
+		if err = node.Write(ctx, p.store, put).Err; err == nil || !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
+	return err
+}
+
+func (p *performer) getWithTimeout(ctx context.Context, key string) (store.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, node.StoreCallTimeout)
+	defer cancel()
+	return p.store.Get(ctx, key)
+}
+
+// history reads the earlier configuration documents.
+func (p *performer) history(ctx context.Context) (policy.History, error) {
+	value, err := p.getWithTimeout(ctx, p.keys.ConfigHistory())
+	if err != nil || value.Revision == 0 {
+		return policy.History{}, err
+	}
+	return policy.DecodeHistory(value.Data)
+}
+
+func (p *performer) call(e CallPlatform) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		err := p.callPlatform(ctx, e.Call)
+		rejected := errors.Is(err, platform.ErrRejected) || errors.Is(err, platform.ErrNotFound)
+		return PlatformCalled{Call: e.Call, Rejected: rejected, Err: err}
+	}
+}
+
+func (p *performer) callPlatform(ctx context.Context, call fleet.Call) error {
+	switch call.Kind {
+	case fleet.CallDrain:
+		return p.platform.Drain(ctx, call.Worker, call.Operation)
+	case fleet.CallReboot:
+		return p.platform.Reboot(ctx, call.Worker, call.Operation)
+	case fleet.CallUndrain:
+		return p.platform.Undrain(ctx, call.Worker, call.Operation)
+	case fleet.CallAssign:
+		return p.platform.Assign(ctx, call.Worker, call.Pool, call.Operation)
+	default:
+		return fmt.Errorf("%w: unknown call %q", platform.ErrRejected, call.Kind)
+	}
+}
+
+func (p *performer) ask(e AskWorker) func(context.Context) Event {
+	return func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		asked := time.Now()
+		worker, err := p.platform.GetWorker(ctx, e.Worker)
+		if err != nil {
+			return WorkerAnswered{Worker: e.Worker, Asked: asked, Err: err}
+		}
+		answer := observationFrom(&worker)
+		return WorkerAnswered{Worker: e.Worker, Observation: &answer, Asked: asked}
+	}
+}
--- /dev/null
+++ b/controller/queries.go
@@ -0,0 +1,306 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/budget"
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/membership"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/policy"
+	"github.com/waxwingbridge/waxwingbridge/wave"
+)
+
+type (
+	// QueryStatus asks for a StatusReport.
+	QueryStatus struct{}
+	// QueryPools asks for a list of PoolReport.
+	QueryPools struct{}
+	// QueryWorkers asks for a list of WorkerReport, of one pool or of all.
+	QueryWorkers struct{ Pool string }
+	// QueryWave asks for a WaveReport.
+	QueryWave struct{}
+	// QueryJobs asks for a list of JobReport, of one tenant or of all.
+	QueryJobs struct{ Tenant string }
+	// QueryConfig asks for the configuration in force.
+	QueryConfig struct{}
+	// QueryInForce asks which processes lack a configuration revision.
+	QueryInForce struct{ Revision policy.Revision }
+	// Explain asks why a worker is not being maintained or a job not running.
+	Explain struct{ Kind, Name string }
+)
+
+// StatusReport tells how the control of the site is doing.
+type StatusReport struct {
+	Site             string          `json:"site"`
+	Phase            string          `json:"phase"`
+	ActiveController string          `json:"active_controller"`
+	Epoch            uint64          `json:"epoch"`
+	FleetRevision    uint64          `json:"fleet_revision"`
+	ConfigRevision   policy.Revision `json:"config_revision"`
+	StoreReachable   bool            `json:"store_reachable"`
+	PlatformAnswers  bool            `json:"platform_answers"`
+	Workers          int             `json:"workers"`
+	Serving          int             `json:"serving"`
+	Wave             string          `json:"wave"`
+	Peers            []PeerReport    `json:"peers"`
+}
+
+// PeerReport describes one process.
+type PeerReport struct {
+	Incarnation      string  `json:"incarnation"`
+	Role             string  `json:"role"`
+	Address          string  `json:"address"`
+	AvailabilityZone string  `json:"availability_zone"`
+	Suspected        bool    `json:"suspected"`
+	ConfigRevision   uint64  `json:"config_revision"`
+	FleetRevision    uint64  `json:"fleet_revision"`
+	HeardSecondsAgo  float64 `json:"heard_seconds_ago"`
+}
+
+// PoolReport tells the availability of a pool.
+type PoolReport struct {
+	Pool     string  `json:"pool"`
+	Spare    bool    `json:"spare"`
+	Workers  int     `json:"workers"`
+	Serving  int     `json:"serving"`
+	Floor    int     `json:"floor"`
+	Slack    int     `json:"slack"`
+	Borrowed int     `json:"borrowed"`
+	Demand   float64 `json:"demand"`
+	Waiting  string  `json:"waiting"` // why the wave starts nothing here
+}
+
+// WorkerReport is a worker of the fleet.
+type WorkerReport struct {
+	fleet.Worker
+	Waiting string `json:"waiting,omitempty"` // why its operation does not advance
+}
+
+// WaveReport tells the progress of the wave.
+type WaveReport struct {
+	Wave       *fleet.Wave            `json:"wave"`
+	Pending    int                    `json:"pending"`
+	InProgress int                    `json:"in_progress"`
+	Maintained int                    `json:"maintained"`
+	Waiting    map[string]wave.Reason `json:"waiting"`
+}
+
+// JobReport is a job as operators see it.
+type JobReport struct {
+	ID       string `json:"id"`
+	Tenant   string `json:"tenant"`
+	State    string `json:"state"`
+	Reason   string `json:"reason"`
+	Detail   string `json:"detail,omitempty"`
+	Worker   string `json:"worker,omitempty"`
+	Attempts int    `json:"attempts"`
+}
+
+// LaggingReport is a process in which a configuration is not in force.
+type LaggingReport struct {
+	Incarnation string `json:"incarnation"`
+	Role        string `json:"role"`
+	Address     string `json:"address"`
+	Revision    uint64 `json:"revision"`
+	Suspected   bool   `json:"suspected"`
+}
+
+// InForceReport answers QueryInForce.
+type InForceReport struct {
+	Revision policy.Revision `json:"revision"`
+	Lagging  []LaggingReport `json:"lagging"`
+}
+
+// Explanation answers Explain with the typed reason of the last decision.
+type Explanation struct {
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	State  string `json:"state"`
+	Reason string `json:"reason"`
+	Detail string `json:"detail,omitempty"`
+}
+
+func (QueryStatus) execute(s *State, tick engine.Tick, r *Request) {
+	tables := s.tables()
+	report := StatusReport{
+		Site: s.View.Keys.Site(), Phase: s.Lead.phase.String(), ActiveController: s.View.Leader.Identity.PublicAddress,
+		Epoch: tables.Epoch, FleetRevision: tables.Revision, StoreReachable: s.storeReachable(tick.Now),
+		PlatformAnswers: s.View.PlatformReachable(), Workers: tables.Workers.Len(), Wave: "none", Peers: []PeerReport{},
+	}
+	if s.View.Config != nil {
+		report.ConfigRevision = s.View.Config.Revision
+	}
+	if tables.Wave != nil {
+		report.Wave = string(tables.Wave.Status)
+	}
+	for _, row := range tables.Workers.All() {
+		if row.Available() {
+			report.Serving++
+		}
+	}
+	for _, peer := range s.Peers.Peers.All() {
+		if peer.Replaced {
+			continue
+		}
+		report.Peers = append(report.Peers, PeerReport{
+			Incarnation: peer.Incarnation, Role: string(peer.Role), Address: peer.Address, AvailabilityZone: peer.AvailabilityZone,
+			Suspected: peer.Suspected, ConfigRevision: peer.Revisions[membership.DocumentConfig],
+			FleetRevision: peer.Revisions[membership.DocumentFleet], HeardSecondsAgo: tick.Now.Sub(peer.LastHeard).Seconds(),
+		})
+	}
+	s.answer(r, Response{Status: StatusDone, Value: report})
+}
+
+func (QueryPools) execute(s *State, _ engine.Tick, r *Request) {
+	reports := []PoolReport{}
+	if s.View.Policy != nil {
+		tables, demand := s.tables(), s.totalDemand()
+		book := budget.Assess(tables, s.View.Policy, demand)
+		for _, spec := range s.View.Policy.Pools() {
+			pool := book.Pool(spec.Name)
+			reports = append(reports, PoolReport{
+				Pool: spec.Name, Spare: spec.Spare, Workers: pool.Size, Serving: pool.Serving, Floor: pool.Floor,
+				Slack: pool.Slack(), Borrowed: tables.Borrowed(spec.Name), Demand: demand[spec.Name],
+				Waiting: string(s.waitReasons[spec.Name]),
+			})
+		}
+	}
+	s.answer(r, Response{Status: StatusDone, Value: reports})
+}
+
+func (q QueryWorkers) execute(s *State, _ engine.Tick, r *Request) {
+	reports := []WorkerReport{}
+	document := s.tables().Document()
+	for _, worker := range document.Workers {
+		if q.Pool == "" || worker.Pool == q.Pool {
+			reports = append(reports, WorkerReport{Worker: worker, Waiting: s.waitingFor(worker.ID)})
+		}
+	}
+	s.answer(r, Response{Status: StatusDone, Value: reports})
+}
+
+func (s *State) waitingFor(worker string) string {
+	if id, ok := s.observationIndex.Get(worker); ok {
+		return string(s.observations.Get(id).reason)
+	}
+	return ""
+}
+
+func (QueryWave) execute(s *State, _ engine.Tick, r *Request) {
+	tables := s.tables()
+	report := WaveReport{Wave: tables.Wave, Waiting: s.waitReasons}
+	if tables.Wave != nil {
+		for _, row := range tables.Workers.All() {
+			switch {
+			case row.OperationID != 0:
+				report.InProgress++
+			case row.MaintainedAt.Before(tables.Wave.StartedAt):
+				report.Pending++
+			default:
+				report.Maintained++
+			}
+		}
+		clone := *tables.Wave
+		report.Wave = &clone
+	}
+	report.Waiting = cloneReasons(s.waitReasons)
+	s.answer(r, Response{Status: StatusDone, Value: report})
+}
+
+func cloneReasons(reasons map[string]wave.Reason) map[string]wave.Reason {
+	clone := make(map[string]wave.Reason, len(reasons))
+	for pool, reason := range reasons {
+		clone[pool] = reason
+	}
+	return clone
+}
+
+func (q QueryJobs) execute(s *State, _ engine.Tick, r *Request) {
+	if !s.Active() {
+		s.answer(r, s.notActive())
+		return
+	}
+	reports := []JobReport{}
+	s.Jobs.Jobs(func(view placement.View) bool {
+		if q.Tenant == "" || view.Tenant == q.Tenant {
+			reports = append(reports, jobReport(view))
+		}
+		return true
+	})
+	slices.SortFunc(reports, func(a, b JobReport) int { return strings.Compare(a.ID, b.ID) })
+	s.answer(r, Response{Status: StatusDone, Value: reports})
+}
+
+func jobReport(view placement.View) JobReport {
+	return JobReport{
+		ID: view.ID, Tenant: view.Tenant, State: string(view.State), Reason: string(view.Reason),
+		Detail: view.Detail, Worker: view.Worker, Attempts: view.Attempts,
+	}
+}
+
+func (QueryConfig) execute(s *State, _ engine.Tick, r *Request) {
+	if s.View.Config == nil {
+		s.answer(r, Response{Status: StatusUnavailable, Reason: "no-configuration"})
+		return
+	}
+	s.answer(r, Response{Status: StatusDone, Value: s.View.Config})
+}
+
+func (q QueryInForce) execute(s *State, _ engine.Tick, r *Request) {
+	report := InForceReport{Revision: q.Revision, Lagging: []LaggingReport{}}
+	for _, lagging := range s.Peers.InForce(uint64(q.Revision)) {
+		report.Lagging = append(report.Lagging, LaggingReport{
+			Incarnation: lagging.Member.Incarnation, Role: string(lagging.Member.Role), Address: lagging.Member.Address,
+			Revision: lagging.Revision, Suspected: lagging.Suspected,
+		})
+	}
+	s.answer(r, Response{Status: StatusDone, Value: report})
+}
+
+func (q Explain) execute(s *State, tick engine.Tick, r *Request) {
+	switch q.Kind {
+	case "worker":
+		s.explainWorker(q, tick, r)
+	case "job":
+		s.explainJob(q, r)
+	default:
+		s.answer(r, Response{Status: StatusInvalid, Reason: "unknown-kind", Detail: fmt.Sprintf("kind %q; accepted: worker, job", q.Kind)})
+	}
+}
+
+func (s *State) explainWorker(q Explain, tick engine.Tick, r *Request) {
+	row := s.tables().Worker(q.Name)
+	if row == nil {
+		s.answer(r, Response{Status: StatusNotFound, Reason: string(fleet.ReasonUnknownWorker), Detail: fmt.Sprintf("no worker %q", q.Name)})
+		return
+	}
+	explanation := Explanation{Kind: q.Kind, Name: q.Name, State: string(row.State), Reason: string(row.Note)}
+	switch {
+	case row.OperationID != 0:
+		explanation.Reason = s.waitingFor(row.ID)
+		explanation.Detail = "in this state since " + row.Since.Format(time.RFC3339)
+	case s.View.Policy != nil:
+		explanation.Reason = string(wave.Explain(s.waveView(tick), row.ID))
+	}
+	s.answer(r, Response{Status: StatusDone, Value: explanation})
+}
+
+func (s *State) explainJob(q Explain, r *Request) {
+	if !s.Active() {
+		s.answer(r, s.notActive())
+		return
+	}
+	view, ok := s.Jobs.Get(q.Name)
+	if !ok {
+		s.answer(r, Response{Status: StatusNotFound, Reason: string(placement.ReasonNotFound), Detail: fmt.Sprintf("no job %q", q.Name)})
+		return
+	}
+	s.answer(r, Response{Status: StatusDone, Value: Explanation{
+		Kind: q.Kind, Name: q.Name, State: string(view.State), Reason: string(view.Reason), Detail: view.Detail,
+	}})
+}
--- /dev/null
+++ b/controller/requests.go
@@ -0,0 +1,305 @@
+package controller
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/budget"
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/policy"
+	"github.com/waxwingbridge/waxwingbridge/wave"
+)
+
+// Status classifies the answer to an operator's request.
+type Status uint8
+
+// The statuses of an answer.
+const (
+	StatusDone        Status = iota + 1
+	StatusInvalid            // malformed or out of range; nothing was applied
+	StatusNotFound           // no such worker, pool or job
+	StatusConflict           // another change came first, or the state does not allow it
+	StatusNotActive          // another controller is active
+	StatusUnavailable        // provably not applied: the store did not take it
+	StatusUnknown            // may have been applied
+)
+
+// Request is an operator's request. Reply must have room for one response.
+type Request struct {
+	Operator string
+	Command  Command
+	Reply    chan<- Response
+}
+
+// Response answers a request.
+type Response struct {
+	Status Status
+	Reason string
+	Detail string
+	// ActiveController is the operator address of the active controller, for StatusNotActive.
+	ActiveController string
+	Value            any
+}
+
+// Command is what an operator asks for.
+type Command interface{ execute(*State, engine.Tick, *Request) }
+
+type (
+	// Disrupt starts an operation on a worker. IfRevision, if not zero, is the
+	// fleet revision that the operator has seen.
+	Disrupt struct {
+		Kind       fleet.OperationKind
+		Worker     string
+		ToPool     string
+		Reason     string
+		IfRevision uint64
+	}
+	// ReturnWorker brings a worker back to service or aborts its operation.
+	ReturnWorker struct{ Worker string }
+	// ControlWave starts, pauses, resumes or aborts the wave.
+	ControlWave struct {
+		Action WaveAction
+		Pools  []string
+		Reason string
+	}
+	// ApplyConfig makes the document the successor of the base revision.
+	ApplyConfig struct {
+		Base     policy.Revision
+		Document *policy.Document
+	}
+)
+
+// WaveAction is an operator's request about the wave.
+type WaveAction string
+
+// The actions on a wave.
+const (
+	WaveStart  WaveAction = "start"
+	WavePause  WaveAction = "pause"
+	WaveResume WaveAction = "resume"
+	WaveAbort  WaveAction = "abort"
+)
+
+// request is a change of the fleet that waits until its revision is durable.
+type request struct {
+	reply    chan<- Response
+	revision uint64
+	deadline time.Time
+	value    any
+}
+
+// executeRequests carries out the requests that arrived since the last tick.
+func executeRequests(s *State, tick engine.Tick) {
+	for i := range s.arrived {
+		s.arrived[i].Command.execute(s, tick, &s.arrived[i])
+	}
+	clear(s.arrived)
+	s.arrived = s.arrived[:0]
+}
+
+func (s *State) answer(r *Request, response Response) {
+	s.Out.Answers.Add(Answer{Reply: r.Reply, Result: response})
+}
+
+// notActive is the answer of a controller that does not control the fleet.
+func (s *State) notActive() Response {
+	response := Response{Status: StatusNotActive, Reason: "not-active", Detail: "this controller is " + s.Lead.phase.String()}
+	if leader := s.View.Leader; leader.Revision != 0 && leader.Identity.Incarnation != s.View.Self.Incarnation {
+		response.ActiveController = leader.Identity.PublicAddress
+	}
+	return response
+}
+
+// awaitCommit answers the request once the next write of the fleet is durable.
+func (s *State) awaitCommit(r *Request, tick engine.Tick, value any) {
+	s.changed()
+	s.requests.Insert(request{
+		reply: r.Reply, revision: s.Fleet.NextRevision(), deadline: tick.Now.Add(requestTimeout), value: value,
+	})
+}
+
+// answerRequests answers the requests whose change is durable. One that waits
+// too long is answered as unknown, since a later write may still carry it.
+func answerRequests(s *State, tick engine.Tick) {
+	for id, row := range s.requests.All() {
+		switch {
+		case s.Fleet != nil && s.Fleet.Revision >= row.revision:
+			s.Out.Answers.Add(Answer{Reply: row.reply, Result: Response{Status: StatusDone, Value: row.value}})
+		case tick.Now.After(row.deadline):
+			s.Out.Answers.Add(Answer{Reply: row.reply, Result: Response{Status: StatusUnknown, Reason: "store-timeout"}})
+		default:
+			continue
+		}
+		s.requests.Delete(id)
+	}
+}
+
+// failRequests answers all waiting requests when the controller is no longer
+// active: their change may or may not be in the document.
+func (s *State) failRequests(_ engine.Tick) {
+	for id, row := range s.requests.All() {
+		s.Out.Answers.Add(Answer{Reply: row.reply, Result: Response{Status: StatusUnknown, Reason: "controller-replaced"}})
+		s.requests.Delete(id)
+	}
+}
+
+func (c Disrupt) execute(s *State, tick engine.Tick, r *Request) {
+	if !s.Active() {
+		s.answer(r, s.notActive())
+		return
+	}
+	if c.IfRevision != 0 && c.IfRevision != s.Fleet.Revision {
+		s.answer(r, Response{
+			Status: StatusConflict, Reason: "fleet-changed",
+			Detail: fmt.Sprintf("the fleet is at revision %d, the request is based on %d", s.Fleet.Revision, c.IfRevision),
+		})
+		return
+	}
+	if refusal, refused := s.checkDisrupt(c, tick); refused {
+		s.answer(r, refusal)
+		return
+	}
+	start := fleet.Start{
+		Operation: s.newOperationID(), Kind: c.Kind, Worker: c.Worker, ToPool: c.ToPool, Operator: r.Operator, Reason: c.Reason,
+	}
+	if err := s.Fleet.StartOperation(start, tick.Now); err != nil {
+		s.answer(r, s.refusal(err))
+		return
+	}
+	s.View.Log(events.OperationStarted, events.F("worker", c.Worker), events.F("operation", start.Operation),
+		events.F("kind", c.Kind), events.F("operator", r.Operator))
+	s.awaitCommit(r, tick, OperationStarted{Operation: start.Operation, Worker: c.Worker})
+}
+
+// OperationStarted is the value of the answer to Disrupt.
+type OperationStarted struct {
+	Operation string `json:"operation"`
+	Worker    string `json:"worker"`
+}
+
+// checkDisrupt reports a request that the budgets do not allow now.
+func (s *State) checkDisrupt(c Disrupt, tick engine.Tick) (Response, bool) {
+	row := s.Fleet.Worker(c.Worker)
+	if row == nil {
+		return Response{Status: StatusNotFound, Reason: string(fleet.ReasonUnknownWorker), Detail: fmt.Sprintf("no worker %q", c.Worker)}, true
+	}
+	if s.View.Policy == nil {
+		return Response{Status: StatusUnavailable, Reason: "no-configuration"}, true
+	}
+	if !s.disruptionAllowed(tick.Now) {
+		return Response{Status: StatusUnavailable, Reason: string(fleet.ReasonNotAllowed), Detail: s.whyNotAllowed(tick)}, true
+	}
+	if !row.Available() {
+		return Response{}, false // StartOperation names the state
+	}
+	book := budget.Assess(s.Fleet, s.View.Policy, nil)
+	shortage := book.CheckDisrupt(row.Pool, row.AvailabilityZone)
+	if c.Kind == fleet.OperationMove {
+		if _, ok := s.View.Policy.Pool(c.ToPool); !ok {
+			return Response{Status: StatusNotFound, Reason: string(fleet.ReasonUnknownPool), Detail: fmt.Sprintf("no pool %q", c.ToPool)}, true
+		}
+		shortage = book.CheckMove(row.Pool, c.ToPool, row.AvailabilityZone)
+	}
+	if shortage == "" {
+		return Response{}, false
+	}
+	return Response{
+		Status: StatusConflict, Reason: string(shortage),
+		Detail: fmt.Sprintf("the availability budget of pool %q does not allow it now", row.Pool),
+	}, true
+}
+
+func (s *State) whyNotAllowed(tick engine.Tick) string {
+	switch {
+	case tick.Now.Before(s.Lead.quietUntil):
+		return "the controller became active a moment ago"
+	case !s.storeReachable(tick.Now):
+		return "the store is unreachable"
+	case !s.View.PlatformReachable():
+		return "the platform is unreachable"
+	default:
+		return "the controller's lease is about to end"
+	}
+}
+
+// refusal turns a typed error of the fleet into an answer. A busy worker names
+// the other change.
+func (s *State) refusal(err error) Response {
+	var requestError *fleet.RequestError
+	if !errors.As(err, &requestError) {
+		return Response{Status: StatusConflict, Reason: "refused", Detail: err.Error()}
+	}
+	response := Response{Status: StatusConflict, Reason: string(requestError.Reason), Detail: err.Error()}
+	if requestError.Reason == fleet.ReasonUnknownWorker || requestError.Reason == fleet.ReasonUnknownPool {
+		response.Status = StatusNotFound
+	}
+	if row := s.Fleet.Worker(requestError.Worker); row != nil {
+		if operation := s.Fleet.Operation(row); operation != nil {
+			response.Detail = fmt.Sprintf("%s; operation %s (%s) by %q is in progress", err, operation.ID, operation.Kind, initiator(&operation.Operation))
+		}
+	}
+	return response
+}
+
+func initiator(operation *fleet.Operation) string {
+	if operation.Wave != "" {
+		return "wave " + operation.Wave
+	}
+	return operation.Operator
+}
+
+func (c ReturnWorker) execute(s *State, tick engine.Tick, r *Request) {
+	if !s.Active() {
+		s.answer(r, s.notActive())
+		return
+	}
+	start := fleet.Start{Operation: s.newOperationID(), Worker: c.Worker, Operator: r.Operator}
+	if err := s.Fleet.ReturnWorker(start, tick.Now); err != nil {
+		s.answer(r, s.refusal(err))
+		return
+	}
+	s.awaitCommit(r, tick, OperationStarted{Operation: start.Operation, Worker: c.Worker})
+}
+
+func (c ControlWave) execute(s *State, tick engine.Tick, r *Request) {
+	if !s.Active() || s.View.Policy == nil {
+		s.answer(r, s.notActive())
+		return
+	}
+	if err := s.controlWave(c, r.Operator, tick); err != nil {
+		response := s.refusal(err)
+		var stateError *wave.StateError
+		if errors.As(err, &stateError) {
+			response.Reason = "wave-" + string(stateError.Status)
+		}
+		s.answer(r, response)
+		return
+	}
+	s.View.Log(events.WaveChanged, events.F("action", c.Action), events.F("wave", s.Fleet.Wave.ID), events.F("operator", r.Operator))
+	s.awaitCommit(r, tick, *s.Fleet.Wave)
+}
+
+func (s *State) controlWave(c ControlWave, operator string, tick engine.Tick) error {
+	switch c.Action {
+	case WaveStart:
+		return wave.Begin(s.Fleet, s.View.Policy, wave.Start{ID: s.newOperationID(), Pools: c.Pools, Operator: operator}, tick.Now)
+	case WavePause:
+		return wave.Pause(s.Fleet, c.Reason)
+	case WaveResume:
+		return wave.Resume(s.Fleet, s.View.Policy)
+	case WaveAbort:
+		return wave.Abort(s.Fleet, c.Reason)
+	default:
+		return fmt.Errorf("unknown action %q; accepted: start, pause, resume, abort", c.Action)
+	}
+}
+
+// newOperationID returns an ID that is unique for ever: the epoch belongs to
+// this controller alone.
+func (s *State) newOperationID() string {
+	s.nextOperation++
+	return fmt.Sprintf("%d-%d", s.Fleet.Epoch, s.nextOperation)
+}
--- a/controller/state.go
+++ b/controller/state.go
@@ -114,7 +114,6 @@
 	waitReasons map[string]wave.Reason // per pool, of the last plan
 	planAt      time.Time
 	configWrite *pendingConfig
-	historyAt   policy.Revision // revision that the history is known to contain
 
 	demand   []budget.Sample
 	sampleAt time.Time
@@ -122,6 +121,7 @@
 	listing  bool // a read of the task list is under way
 
 	nextOperation uint64
+	lastTick      time.Time
 
 	Out Outbound
 }
--- /dev/null
+++ b/controller/systems.go
@@ -0,0 +1,57 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/membership"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+)
+
+// Systems lists the systems of a controller in the order in which they run:
+// first what is known, then the role, then decisions, at last the writes.
+func Systems() []engine.System[State] {
+	systems := []engine.System[State]{
+		{Name: "expire exceptions", Run: expireExceptions},
+		{Name: "follow members", Run: followMembers},
+		{Name: "report revisions", Run: reportRevisions},
+	}
+	systems = append(systems, engine.Lift(func(s *State) *membership.State { return s.Peers }, membership.Systems())...)
+	systems = append(systems,
+		engine.System[State]{Name: "report peers", Run: reportPeers},
+		engine.System[State]{Name: "retreat", Run: retreat},
+		engine.System[State]{Name: "campaign", Run: campaign},
+		engine.System[State]{Name: "reconcile list", Run: reconcileList},
+		engine.System[State]{Name: "execute requests", Run: executeRequests},
+		engine.System[State]{Name: "ask workers", Run: askWorkers},
+		engine.System[State]{Name: "advance operations", Run: advanceOperations},
+		engine.System[State]{Name: "sample demand", Run: sampleDemand},
+		engine.System[State]{Name: "plan wave", Run: planWave},
+		engine.System[State]{Name: "feed jobs", Run: feedJobs},
+		engine.System[State]{Name: "list tasks", Run: listTasks},
+	)
+	systems = append(systems, engine.Lift(func(s *State) *placement.State { return s.Jobs }, placement.Systems)...)
+	return append(systems,
+		engine.System[State]{Name: "follow quarantines", Run: followQuarantines},
+		engine.System[State]{Name: "commit fleet", Run: commitFleet},
+		engine.System[State]{Name: "answer requests", Run: answerRequests},
+	)
+}
+
+// idleInterval is the longest pause between two ticks, so that leases and the
+// freshness of the view are looked at without an event.
+const idleInterval = 500 * time.Millisecond
+
+// NextDeadline returns the moment of the next tick without an event.
+func NextDeadline(s *State) time.Time {
+	next := s.lastTick.Add(idleInterval)
+	next = earliest(next, s.Peers.NextDeadline())
+	next = earliest(next, s.Jobs.NextDeadline())
+	if soonest := s.lastTick.Add(minimumPause); next.Before(soonest) {
+		return soonest
+	}
+	return next
+}
+
+// minimumPause bounds the rate of ticks that deadlines cause.
+const minimumPause = 5 * time.Millisecond
--- a/node/keys.go
+++ b/node/keys.go
@@ -8,10 +8,13 @@
 import "strings"
 
 // Keys names the store keys of a site.
-type Keys struct{ prefix string }
+type Keys struct{ site, prefix string }
 
 // NewKeys returns the keys of a site.
-func NewKeys(site string) Keys { return Keys{prefix: "/waxwing/" + site + "/"} }
+func NewKeys(site string) Keys { return Keys{site: site, prefix: "/waxwing/" + site + "/"} }
+
+// Site returns the name of the site.
+func (k Keys) Site() string { return k.site }
 
 // Shared is the prefix that every process watches.
 func (k Keys) Shared() string { return k.prefix + "shared/" }
@@ -34,6 +37,9 @@
 // Member is the key of the registration of one process.
 func (k Keys) Member(incarnation string) string { return k.Members() + incarnation }
 
+// ConfigHistory is the key of the earlier configuration documents.
+func (k Keys) ConfigHistory() string { return k.prefix + "config-history" }
+
 // JobPage is the key of a page of jobs.
 func (k Keys) JobPage(page string) string { return k.prefix + "jobs/" + page }
 
--- a/node/view.go
+++ b/node/view.go
@@ -150,10 +150,24 @@
 		}
 		return doc.Revision == v.Config.Revision
 	}
+	v.putInForce(tick, doc)
+	return true
+}
+
+// AdoptConfig takes a document that this process wrote itself.
+func (v *View) AdoptConfig(tick engine.Tick, doc *policy.Document, revision store.Revision) {
+	if v.Config != nil && doc.Revision <= v.Config.Revision {
+		return
+	}
+	v.putInForce(tick, doc)
+	v.ConfigRevision = revision
+}
+
+func (v *View) putInForce(tick engine.Tick, doc *policy.Document) {
 	v.Config = doc
+	v.ConfigRevision = 0
 	v.resolve(tick.Now)
 	v.Log(events.ConfigInForce, events.F("revision", doc.Revision), events.F("author", doc.Author))
-	return true
 }
 
 func (v *View) resolve(now time.Time) {
