--- /dev/null
+++ b/placement/counters.go
@@ -0,0 +1,51 @@
+package placement
+
+// Counters are totals since the start of the process, for metrics.
+type Counters struct {
+	Submissions, Refusals, NotDurable, Cancellations  uint64
+	Placements, Starts, StartsRefused, StartsRepeated uint64
+	Done, Failed, Cancelled, JobsUnknown              uint64
+	Parked, Retired, TaskFailures, Checkpoints        uint64
+	Preemptions, PowerThrottles, PowerCheckpoints     uint64
+	Restores, Controls                                uint64
+	Quarantines, QuarantinesCapped                    uint64
+	PageWrites, PageCommits, PageRetries              uint64
+	StaleReports, Takeovers, Fenced                   uint64
+}
+
+func (c *Counters) countFinished(state JobState) {
+	switch state {
+	case JobDone:
+		c.Done++
+	case JobFailed:
+		c.Failed++
+	case JobCancelled:
+		c.Cancelled++
+	}
+}
+
+// Gauges are present sizes, for metrics.
+type Gauges struct {
+	Jobs, Attempts, Workers, Tenants, Families int
+	DrawWatts                                  int
+	QuarantinedWorkers                         int
+	ByState                                    map[JobState]int
+}
+
+// Gauges counts the rows. It visits every job and worker, so it belongs into the
+// interval of a metrics report and not into each tick.
+func (s *State) Gauges() Gauges {
+	g := Gauges{
+		Jobs: s.jobs.Len(), Attempts: s.attempts.Len(), Workers: s.workers.Len(), Tenants: s.tenants.Len(),
+		Families: s.families.Len(), DrawWatts: s.draw(), ByState: map[JobState]int{},
+	}
+	for _, job := range s.jobs.All() {
+		g.ByState[job.State]++
+	}
+	for _, w := range s.workers.All() {
+		if w.Quarantine.Active {
+			g.QuarantinedWorkers++
+		}
+	}
+	return g
+}
--- /dev/null
+++ b/placement/explain.go
@@ -0,0 +1,42 @@
+package placement
+
+import "time"
+
+// Explanation says why a job is not running.
+type Explanation struct {
+	View
+	Reservation  Resources // what the job would reserve
+	Observed     bool      // the size is the observed quantile of its family
+	Cancelling   bool
+	Durable      bool
+	Throttled    bool
+	FailedOn     []string
+	LapsesAt     time.Time // when an unreachable attempt can no longer run
+	QuotaUsed    int       // milli cores that the tenant holds
+	QuotaLimit   int
+	HeadroomWatt int
+}
+
+// Explain returns the typed reason why a job is not running, with the values
+// behind it.
+func (s *State) Explain(jobID string) (Explanation, bool) {
+	job, _ := s.job(jobID)
+	if job == nil {
+		return Explanation{}, false
+	}
+	e := Explanation{
+		View: s.view(job), Cancelling: job.Cancelling, Durable: s.durable(job), FailedOn: job.FailedOn,
+		QuotaUsed: s.tenant(job.Tenant).Reserved.MilliCores, HeadroomWatt: s.HeadroomWatts(),
+	}
+	if s.policy != nil {
+		e.Reservation, e.Observed = s.reservation(&job.Spec), s.observed(&job.Spec)
+		e.QuotaLimit = s.quotaMilliCores(job.Tenant)
+	}
+	if a := s.attempts.Get(job.attempt); a != nil {
+		e.Throttled = a.Throttled
+		if a.Status == AttemptLost || a.Status == AttemptUnknown || a.Status == AttemptUncertain {
+			e.LapsesAt = s.lapsed(a)
+		}
+	}
+	return e, true
+}
--- /dev/null
+++ b/placement/pagecodec/pagecodec.go
@@ -0,0 +1,143 @@
+// Package pagecodec encodes job pages as JSON, the form in which they are kept
+// in the store.
+package pagecodec
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/placement"
+)
+
+// maxBytes is the store's limit of a value.
+const maxBytes = 1 << 20
+
+type page struct {
+	Index int    `json:"index"`
+	Epoch uint64 `json:"epoch"`
+	Jobs  []job  `json:"jobs"`
+}
+
+type job struct {
+	ID             string              `json:"id"`
+	Tenant         string              `json:"tenant"`
+	Pool           string              `json:"pool"`
+	Class          placement.Class     `json:"class"`
+	Family         string              `json:"family,omitempty"`
+	Size           [3]int              `json:"size"` // milli cores, memory in MB, accelerators
+	RunTime        time.Duration       `json:"run_time_ns,omitempty"`
+	Idempotent     bool                `json:"idempotent,omitempty"`
+	Checkpointable bool                `json:"checkpointable,omitempty"`
+	Payload        string              `json:"payload,omitempty"`
+	Priority       int                 `json:"priority,omitempty"`
+	Zone           string              `json:"az,omitempty"`
+	SpreadRacks    bool                `json:"spread_racks,omitempty"`
+	State          placement.JobState  `json:"state"`
+	Reason         placement.Reason    `json:"reason,omitempty"`
+	Detail         string              `json:"detail,omitempty"`
+	SubmittedAt    time.Time           `json:"submitted_at"`
+	FinishedAt     time.Time           `json:"finished_at,omitzero"`
+	Attempts       int                 `json:"attempts,omitempty"`
+	FailedOn       []string            `json:"failed_on,omitempty"`
+	Failures       int                 `json:"failures,omitempty"`
+	Cancelling     bool                `json:"cancelling,omitempty"`
+	Resume         bool                `json:"resume,omitempty"`
+	Peak           placement.Resources `json:"peak,omitzero"`
+	Ran            time.Duration       `json:"ran_ns,omitempty"`
+	Attempt        *attempt            `json:"attempt,omitempty"`
+}
+
+type attempt struct {
+	Operation string                  `json:"op"`
+	Worker    string                  `json:"worker"`
+	Status    placement.AttemptStatus `json:"status"`
+	Resume    bool                    `json:"resume,omitempty"`
+	Reserved  [3]int                  `json:"reserved"`
+	CreatedAt time.Time               `json:"created_at"`
+	StartedAt time.Time               `json:"started_at,omitzero"`
+}
+
+// Encode returns the JSON form of a page.
+func Encode(p placement.Page) ([]byte, error) {
+	out := page{Index: p.Index, Epoch: p.Epoch, Jobs: make([]job, len(p.Jobs))}
+	for i := range p.Jobs {
+		out.Jobs[i] = fromRecord(&p.Jobs[i])
+	}
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(&out); err != nil {
+		return nil, fmt.Errorf("encode job page %d: %w", p.Index, err)
+	}
+	if buffer.Len() > maxBytes {
+		return nil, fmt.Errorf("encode job page %d: %d bytes, at most %d are accepted", p.Index, buffer.Len(), maxBytes)
+	}
+	return buffer.Bytes(), nil
+}
+
+// Decode parses a page. Index is the one of the key; a page that names another
+// one, or holds a job of another page, is an error. No data is an empty page.
+func Decode(index int, data []byte) (placement.Page, error) {
+	if len(data) == 0 {
+		return placement.Page{Index: index}, nil
+	}
+	var in page
+	if err := json.Unmarshal(data, &in); err != nil {
+		return placement.Page{}, fmt.Errorf("decode job page %d: %w", index, err)
+	}
+	if in.Index != index {
+		return placement.Page{}, fmt.Errorf("decode job page %d: value names page %d", index, in.Index)
+	}
+	out := placement.Page{Index: index, Epoch: in.Epoch, Jobs: make([]placement.JobRecord, len(in.Jobs))}
+	for i := range in.Jobs {
+		if placement.PageOf(in.Jobs[i].ID) != index {
+			return placement.Page{}, fmt.Errorf("decode job page %d: job %q belongs to another page", index, in.Jobs[i].ID)
+		}
+		out.Jobs[i] = in.Jobs[i].record()
+	}
+	return out, nil
+}
+
+func fromRecord(r *placement.JobRecord) job {
+	s := &r.Spec
+	out := job{
+		ID: s.ID, Tenant: s.Tenant, Pool: s.Pool, Class: s.Class, Family: s.Family, Size: triple(s.Size),
+		RunTime: s.RunTime, Idempotent: s.Idempotent, Checkpointable: s.Checkpointable, Payload: s.Payload,
+		Priority: s.Priority, Zone: s.AvailabilityZone, SpreadRacks: s.SpreadRacks,
+		State: r.State, Reason: r.Reason, Detail: r.Detail, SubmittedAt: r.SubmittedAt, FinishedAt: r.FinishedAt,
+		Attempts: r.Attempts, FailedOn: r.FailedOn, Failures: r.Failures, Cancelling: r.Cancelling, Resume: r.Resume,
+		Peak: r.Peak, Ran: r.Ran,
+	}
+	if a := r.Attempt; a != nil {
+		out.Attempt = &attempt{a.Operation, a.Worker, a.Status, a.Resume, triple(a.Reserved), a.CreatedAt, a.StartedAt}
+	}
+	return out
+}
+
+func (j *job) record() placement.JobRecord {
+	out := placement.JobRecord{
+		Spec: placement.Spec{
+			ID: j.ID, Tenant: j.Tenant, Pool: j.Pool, Class: j.Class, Family: j.Family, Size: resources(j.Size),
+			RunTime: j.RunTime, Idempotent: j.Idempotent, Checkpointable: j.Checkpointable, Payload: j.Payload,
+			Priority: j.Priority, AvailabilityZone: j.Zone, SpreadRacks: j.SpreadRacks,
+		},
+		State: j.State, Reason: j.Reason, Detail: j.Detail, SubmittedAt: j.SubmittedAt, FinishedAt: j.FinishedAt,
+		Attempts: j.Attempts, FailedOn: j.FailedOn, Failures: j.Failures, Cancelling: j.Cancelling, Resume: j.Resume,
+		Peak: j.Peak, Ran: j.Ran,
+	}
+	if a := j.Attempt; a != nil {
+		out.Attempt = &placement.AttemptRecord{
+			Operation: a.Operation, Worker: a.Worker, Status: a.Status, Resume: a.Resume,
+			Reserved: resources(a.Reserved), CreatedAt: a.CreatedAt, StartedAt: a.StartedAt,
+		}
+	}
+	return out
+}
+
+func triple(r placement.Resources) [3]int { return [3]int{r.MilliCores, r.MemoryMB, r.Accelerators} }
+
+func resources(t [3]int) placement.Resources {
+	return placement.Resources{MilliCores: t[0], MemoryMB: t[1], Accelerators: t[2]}
+}
