--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -200,6 +200,43 @@
 	}
 }
 
+// Guards against a pair that is torn apart by lost answers while the side that
+// usually waits could dial.
+func TestLostAnswersMakeTheOtherSideDial(t *testing.T) {
+	n, _ := mesh(2)
+	n.run(3 * time.Second)
+	n.lost = func(_, to string) bool { return to == "g00:1" }
+	n.run(20 * time.Second)
+	_, one := n.nodes["g00:1"].Find("g01")
+	_, other := n.nodes["g01:1"].Find("g00")
+	if one.Suspected || other.Suspected {
+		t.Errorf("suspected: %v and %v", one.Suspected, other.Suspected)
+	}
+}
+
+// Guards against a late message that replays old deltas, and against a delta on
+// a base that the receiver does not hold.
+func TestMergeIgnoresLateAndGappedDeltas(t *testing.T) {
+	s := New(Options{Self: Member{Incarnation: "a", Address: "a:1"}})
+	receive := func(sequence, base uint64, requests uint32) (uint32, uint64) {
+		s.inbox = []Received{{Message: Message{
+			Sender: Member{Incarnation: "b", Address: "b:1"}, Receiver: "a", Sequence: sequence, Base: base,
+			Demand: Delta[uint32]{Set: []Entry[uint32]{{"p", requests}}},
+		}}}
+		id := s.merge(&s.inbox[0], start)
+		value, _ := s.Demand.Get(id, "p")
+		return value, s.compose(id, start).Acknowledged
+	}
+	for _, c := range []struct{ sequence, base, wantAck uint64 }{
+		{5, 3, 0}, {6, 0, 6}, {8, 6, 8}, {7, 6, 8}, {8, 0, 8}, {10, 9, 8}, {11, 8, 11},
+	} {
+		value, ack := receive(c.sequence, c.base, uint32(c.sequence))
+		if ack != c.wantAck || uint64(value) != c.wantAck {
+			t.Errorf("after message %d on %d: value %d, acknowledged %d, want %d", c.sequence, c.base, value, ack, c.wantAck)
+		}
+	}
+}
+
 // Guards against a fleet view that looks fresh because its message was delayed,
 // and against one that is later than the own view.
 func TestPeerConfirmationIsNeverTooFresh(t *testing.T) {
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -11,13 +11,14 @@
 
 var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
 
-// network connects states without sockets. cut says which messages are lost;
-// a lost request has no answer, and a lost answer leaves the request delivered.
+// network connects states without sockets. cut says which messages are lost and
+// lost which answers; the request of a lost answer is delivered.
 type network struct {
 	now    time.Time
 	nodes  map[string]*State // by address
 	order  []string
 	cut    func(from, to string) bool
+	lost   func(from, to string) bool
 	random *rand.Rand // reorders and repeats messages if set
 	held   []held
 }
@@ -28,7 +29,8 @@
 }
 
 func newNetwork() *network {
-	return &network{now: start, nodes: map[string]*State{}, cut: func(string, string) bool { return false }}
+	never := func(string, string) bool { return false }
+	return &network{now: start, nodes: map[string]*State{}, cut: never, lost: never}
 }
 
 func (n *network) add(incarnation string, role Role, zone, address string, seeds ...string) *State {
@@ -63,7 +65,7 @@
 	peer.Receive(Received{Message: send.Message, Token: 1})
 	mergeMessages(peer, engine.Tick{Now: n.now})
 	peer.Replies.Drain(func(reply Reply) {
-		if !n.cut(send.Address, from) {
+		if !n.cut(send.Address, from) && !n.lost(send.Address, from) {
 			n.deliver(from, Received{Message: reply.Message, Address: send.Address})
 		}
 	})
