Convert between domain types and peer messages

A message without an age no longer reads as a fresh fleet view: fleet_age_ms is optional on the wire. An outcome that this version does not know is unknown.

--- /dev/null
+++ b/peerapi/calls.go
@@ -0,0 +1,129 @@
+package peerapi
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/peerapi/peerpb"
+)
+
+// fromOutcome and toOutcome use the text forms. An outcome that is missing or
+// not known to this version is Unknown, the only safe reading.
+func fromOutcome(o outcome.Outcome) (kind, reason string) { return o.Kind.String(), string(o.Reason) }
+
+func toOutcome(kind, reason string) outcome.Outcome {
+	for _, known := range []outcome.Kind{outcome.Completed, outcome.NotRun} {
+		if known.String() == kind {
+			return outcome.Outcome{Kind: known, Reason: outcome.Reason(reason)}
+		}
+	}
+	if reason == "" {
+		return outcome.UnknownBecause(outcome.ReasonHomeNoAnswer)
+	}
+	return outcome.UnknownBecause(outcome.Reason(reason))
+}
+
+func fromHeaders(headers []Header) []*peerpb.Header {
+	encoded := make([]*peerpb.Header, len(headers))
+	for i, header := range headers {
+		encoded[i] = &peerpb.Header{Name: header.Name, Value: header.Value}
+	}
+	return encoded
+}
+
+func toHeaders(headers []*peerpb.Header) []Header {
+	decoded := make([]Header, len(headers))
+	for i, header := range headers {
+		decoded[i] = Header{Name: header.GetName(), Value: header.GetValue()}
+	}
+	return decoded
+}
+
+// FromKeyedRequest encodes a keyed request. The timeout is rounded down, so that
+// the home does not work past the caller's deadline.
+func FromKeyedRequest(request *KeyedRequest) *peerpb.KeyedRequest {
+	return &peerpb.KeyedRequest{
+		Key: request.Key, HomesEpoch: request.HomesEpoch, Tenant: request.Tenant, Class: request.Class, Pool: request.Pool,
+		Method: request.Method, Path: request.Path, Headers: fromHeaders(request.Headers), Body: request.Body,
+		TimeoutMs: milliseconds(request.Timeout.Truncate(time.Millisecond)), Idempotent: request.Idempotent,
+	}
+}
+
+// ToKeyedRequest decodes a keyed request.
+func ToKeyedRequest(request *peerpb.KeyedRequest) KeyedRequest {
+	return KeyedRequest{
+		Key: request.GetKey(), HomesEpoch: request.GetHomesEpoch(), Tenant: request.GetTenant(), Class: request.GetClass(),
+		Pool: request.GetPool(), Method: request.GetMethod(), Path: request.GetPath(), Headers: toHeaders(request.GetHeaders()),
+		Body: request.GetBody(), Timeout: time.Duration(request.GetTimeoutMs()) * time.Millisecond, Idempotent: request.GetIdempotent(),
+	}
+}
+
+// FromKeyedResponse encodes the answer of a home.
+func FromKeyedResponse(response *KeyedResponse) *peerpb.KeyedResponse {
+	kind, reason := fromOutcome(response.Outcome)
+	return &peerpb.KeyedResponse{
+		Outcome: kind, Reason: reason, Status: int32(response.Status), Headers: fromHeaders(response.Headers),
+		Body: response.Body, Replayed: response.Replayed, HomesEpoch: response.HomesEpoch,
+	}
+}
+
+// ToKeyedResponse decodes the answer of a home.
+func ToKeyedResponse(response *peerpb.KeyedResponse) KeyedResponse {
+	return KeyedResponse{
+		Outcome: toOutcome(response.GetOutcome(), response.GetReason()), Status: int(response.GetStatus()),
+		Headers: toHeaders(response.GetHeaders()), Body: response.GetBody(),
+		Replayed: response.GetReplayed(), HomesEpoch: response.GetHomesEpoch(),
+	}
+}
+
+// FromJobSubmission encodes a job.
+func FromJobSubmission(job *JobSubmission) *peerpb.SubmitJobRequest {
+	return &peerpb.SubmitJobRequest{
+		Id: job.ID, Tenant: job.Tenant, Pool: job.Pool, Class: job.Class, Family: job.Family,
+		MilliCores: job.MilliCores, MemoryMb: job.MemoryMB, Accelerators: job.Accelerators,
+		RunTimeMs: uint64(max(0, job.RunTime.Milliseconds())), Idempotent: job.Idempotent, Payload: job.Payload,
+		Priority: job.Priority, AvailabilityZone: job.AvailabilityZone, SpreadRacks: job.SpreadRacks,
+	}
+}
+
+// maxRunTimeMS keeps a declared run time within time.Duration.
+const maxRunTimeMS = uint64(365 * 24 * time.Hour / time.Millisecond)
+
+// ToJobSubmission decodes a job. A declared run time over a year counts as a year.
+func ToJobSubmission(job *peerpb.SubmitJobRequest) JobSubmission {
+	return JobSubmission{
+		ID: job.GetId(), Tenant: job.GetTenant(), Pool: job.GetPool(), Class: job.GetClass(), Family: job.GetFamily(),
+		MilliCores: job.GetMilliCores(), MemoryMB: job.GetMemoryMb(), Accelerators: job.GetAccelerators(),
+		RunTime:    time.Duration(min(job.GetRunTimeMs(), maxRunTimeMS)) * time.Millisecond,
+		Idempotent: job.GetIdempotent(), Payload: job.GetPayload(), Priority: job.GetPriority(),
+		AvailabilityZone: job.GetAvailabilityZone(), SpreadRacks: job.GetSpreadRacks(),
+	}
+}
+
+// FromJobReference encodes a reference to a job.
+func FromJobReference(reference JobReference) *peerpb.JobRequest {
+	return &peerpb.JobRequest{Id: reference.ID, Tenant: reference.Tenant}
+}
+
+// ToJobReference decodes a reference to a job.
+func ToJobReference(reference *peerpb.JobRequest) JobReference {
+	return JobReference{ID: reference.GetId(), Tenant: reference.GetTenant()}
+}
+
+// FromJobAnswer encodes the answer to a call about a job.
+func FromJobAnswer(answer *JobAnswer) *peerpb.JobResponse {
+	kind, reason := fromOutcome(answer.Outcome)
+	return &peerpb.JobResponse{
+		Outcome: kind, Reason: reason, Id: answer.ID, State: answer.State, Detail: answer.Detail,
+		Worker: answer.Worker, Attempts: answer.Attempts, ActiveController: answer.ActiveController,
+	}
+}
+
+// ToJobAnswer decodes the answer to a call about a job.
+func ToJobAnswer(answer *peerpb.JobResponse) JobAnswer {
+	return JobAnswer{
+		Outcome: toOutcome(answer.GetOutcome(), answer.GetReason()), ID: answer.GetId(), State: answer.GetState(),
+		Detail: answer.GetDetail(), Worker: answer.GetWorker(), Attempts: answer.GetAttempts(),
+		ActiveController: answer.GetActiveController(),
+	}
+}
--- /dev/null
+++ b/peerapi/peerapi_test.go
@@ -0,0 +1,112 @@
+package peerapi
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/waxwingbridge/waxwingbridge/membership"
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/peerapi/peerpb"
+)
+
+func sample() membership.Message {
+	return membership.Message{
+		Sender:   membership.Member{Incarnation: "a", Role: membership.Gateway, Address: "127.0.0.1:1", AvailabilityZone: "z", CallerAddress: "127.0.0.1:2", Active: true},
+		Receiver: "b", Sequence: 9, Acknowledged: 8, Base: 7, Revisions: membership.Revisions{3, 4, 5}, FleetEpoch: 6,
+		FleetConfirmed: true, FleetAge: 250 * time.Millisecond,
+		Demand:  membership.Delta[uint32]{Set: []membership.Entry[uint32]{{Name: "p", Value: 4}}, Removed: []string{"q"}},
+		Leaving: membership.Delta[struct{}]{Set: []membership.Entry[struct{}]{{Name: "w1"}}, Removed: []string{"w2"}},
+		Grants:  membership.Delta[uint32]{Set: []membership.Entry[uint32]{{Name: "w3", Value: 8}}, Removed: []string{"w4"}},
+		Members: membership.Delta[membership.Told]{
+			Set:     []membership.Entry[membership.Told]{{Name: "c", Value: membership.Told{Member: membership.Member{Incarnation: "c", Role: membership.Controller}, ConfigRevision: 2}}},
+			Removed: []string{"d"},
+		},
+	}
+}
+
+func throughWire(t *testing.T, in, out proto.Message) {
+	t.Helper()
+	data, err := proto.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := proto.Unmarshal(data, out); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a field that one direction of the conversion forgets.
+func TestConversionsKeepEveryField(t *testing.T) {
+	message := sample()
+	var state peerpb.State
+	throughWire(t, FromMessage(&message), &state)
+	if got := ToMessage(&state); !reflect.DeepEqual(got, message) {
+		t.Errorf("state %+v, want %+v", got, message)
+	}
+	request := KeyedRequest{"k", 1, "t", "quick", "p", "POST", "/x", []Header{{"A", "b"}}, []byte("body"), 1500 * time.Millisecond, true}
+	var keyed peerpb.KeyedRequest
+	throughWire(t, FromKeyedRequest(&request), &keyed)
+	if got := ToKeyedRequest(&keyed); !reflect.DeepEqual(got, request) {
+		t.Errorf("request %+v", got)
+	}
+	response := KeyedResponse{outcome.Complete(), 201, []Header{{"A", "b"}}, []byte("body"), true, 3}
+	var answered peerpb.KeyedResponse
+	throughWire(t, FromKeyedResponse(&response), &answered)
+	if got := ToKeyedResponse(&answered); !reflect.DeepEqual(got, response) {
+		t.Errorf("response %+v", got)
+	}
+	job := JobSubmission{"j", "t", "p", "long", "f", 500, 64, 1, time.Minute, true, "x", -2, "z", true}
+	var submitted peerpb.SubmitJobRequest
+	throughWire(t, FromJobSubmission(&job), &submitted)
+	if got := ToJobSubmission(&submitted); got != job {
+		t.Errorf("job %+v", got)
+	}
+	answer := JobAnswer{outcome.NotRunBecause(outcome.ReasonNotDurable), "j", "pending", "d", "w", 2, "127.0.0.1:1"}
+	var job2 peerpb.JobResponse
+	throughWire(t, FromJobAnswer(&answer), &job2)
+	if got := ToJobAnswer(&job2); got != answer {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+// Guards against an upgrade that breaks the exchange: a message of a later
+// version has additional fields, one of an earlier version lacks some.
+func TestVersionSkewIsAccepted(t *testing.T) {
+	message := sample()
+	data, err := proto.Marshal(FromMessage(&message))
+	if err != nil {
+		t.Fatal(err)
+	}
+	data = protowire.AppendTag(data, 900, protowire.BytesType)
+	data = protowire.AppendString(data, "from a later version")
+	var state peerpb.State
+	if err := proto.Unmarshal(data, &state); err != nil || !reflect.DeepEqual(ToMessage(&state), message) {
+		t.Errorf("additional field changes the message, error %v", err)
+	}
+	early := ToMessage(&peerpb.State{Sender: &peerpb.Member{Incarnation: "a"}, Sequence: 1})
+	if early.FleetConfirmed || early.Sender.Incarnation != "a" {
+		t.Errorf("message without fields became %+v", early)
+	}
+	if got := ToKeyedResponse(&peerpb.KeyedResponse{Outcome: "later-kind"}); got.Outcome.Kind != outcome.Unknown {
+		t.Errorf("unknown outcome became %v", got.Outcome)
+	}
+}
+
+// Guards against a lost document kind and against a view that gets younger on the wire.
+func TestKindsAndRounding(t *testing.T) {
+	for _, kind := range []membership.DocumentKind{membership.DocumentConfig, membership.DocumentFleet, membership.DocumentHomes} {
+		if got, ok := ToKind(FromKind(kind)); !ok || got != kind {
+			t.Errorf("kind %v became %v", kind, got)
+		}
+	}
+	if _, ok := ToKind(peerpb.DocumentKind_DOCUMENT_KIND_UNSPECIFIED); ok {
+		t.Error("unspecified kind was accepted")
+	}
+	if milliseconds(1) != 1 || milliseconds(-time.Second) != 0 || milliseconds(1<<62) == 0 {
+		t.Error("age is not rounded up and clamped")
+	}
+}
--- /dev/null
+++ b/peerapi/state.go
@@ -0,0 +1,149 @@
+package peerapi
+
+import (
+	"math"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/membership"
+	"github.com/waxwingbridge/waxwingbridge/peerapi/peerpb"
+)
+
+// FromMessage encodes a state message.
+func FromMessage(message *membership.Message) *peerpb.State {
+	state := &peerpb.State{
+		Sender:         fromMember(&message.Sender),
+		Receiver:       message.Receiver,
+		Sequence:       message.Sequence,
+		Acknowledged:   message.Acknowledged,
+		Base:           message.Base,
+		ConfigRevision: message.Revisions[membership.DocumentConfig],
+		FleetRevision:  message.Revisions[membership.DocumentFleet],
+		HomesEpoch:     message.Revisions[membership.DocumentHomes],
+		FleetEpoch:     message.FleetEpoch,
+	}
+	if message.FleetConfirmed {
+		age := milliseconds(message.FleetAge)
+		state.FleetAgeMs = &age
+	}
+	for _, entry := range message.Leaving.Set {
+		state.LeavingWorkers = append(state.LeavingWorkers, entry.Name)
+	}
+	state.ReturnedWorkers = message.Leaving.Removed
+	fromNumbers(message.Demand, func(pool string, requests uint32) {
+		state.Demand = append(state.Demand, &peerpb.PoolDemand{Pool: pool, Requests: requests})
+	})
+	fromNumbers(message.Grants, func(worker string, slots uint32) {
+		state.Grants = append(state.Grants, &peerpb.SlotGrant{Worker: worker, Slots: slots})
+	})
+	for i := range message.Members.Set {
+		told := &message.Members.Set[i].Value
+		member := fromMember(&told.Member)
+		member.ConfigRevision = told.ConfigRevision
+		state.Members = append(state.Members, member)
+	}
+	state.DepartedMembers = message.Members.Removed
+	return state
+}
+
+// ToMessage decodes a state message. Missing fields take their zero value; a
+// missing age means that the sender's fleet view is not confirmed.
+func ToMessage(state *peerpb.State) membership.Message {
+	message := membership.Message{
+		Sender:       toMember(state.GetSender()),
+		Receiver:     state.GetReceiver(),
+		Sequence:     state.GetSequence(),
+		Acknowledged: state.GetAcknowledged(),
+		Base:         state.GetBase(),
+		Revisions: membership.Revisions{
+			membership.DocumentConfig: state.GetConfigRevision(),
+			membership.DocumentFleet:  state.GetFleetRevision(),
+			membership.DocumentHomes:  state.GetHomesEpoch(),
+		},
+		FleetEpoch:     state.GetFleetEpoch(),
+		FleetConfirmed: state.FleetAgeMs != nil,
+		FleetAge:       time.Duration(state.GetFleetAgeMs()) * time.Millisecond,
+	}
+	for _, worker := range state.GetLeavingWorkers() {
+		message.Leaving.Set = append(message.Leaving.Set, membership.Entry[struct{}]{Name: worker})
+	}
+	message.Leaving.Removed = state.GetReturnedWorkers()
+	for _, demand := range state.GetDemand() {
+		toNumber(&message.Demand, demand.GetPool(), demand.GetRequests())
+	}
+	for _, grant := range state.GetGrants() {
+		toNumber(&message.Grants, grant.GetWorker(), grant.GetSlots())
+	}
+	for _, member := range state.GetMembers() {
+		told := membership.Told{Member: toMember(member), ConfigRevision: member.GetConfigRevision()}
+		message.Members.Set = append(message.Members.Set, membership.Entry[membership.Told]{Name: told.Member.Incarnation, Value: told})
+	}
+	message.Members.Removed = state.GetDepartedMembers()
+	return message
+}
+
+// fromNumbers emits the entries of a delta; a removed one has the value zero.
+func fromNumbers(delta membership.Delta[uint32], emit func(string, uint32)) {
+	for _, entry := range delta.Set {
+		emit(entry.Name, entry.Value)
+	}
+	for _, name := range delta.Removed {
+		emit(name, 0)
+	}
+}
+
+func toNumber(delta *membership.Delta[uint32], name string, value uint32) {
+	if value == 0 {
+		delta.Removed = append(delta.Removed, name)
+		return
+	}
+	delta.Set = append(delta.Set, membership.Entry[uint32]{Name: name, Value: value})
+}
+
+func fromMember(member *membership.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Incarnation: member.Incarnation, Role: string(member.Role), Address: member.Address,
+		AvailabilityZone: member.AvailabilityZone, Active: member.Active, CallerAddress: member.CallerAddress,
+	}
+}
+
+func toMember(member *peerpb.Member) membership.Member {
+	return membership.Member{
+		Incarnation: member.GetIncarnation(), Role: membership.Role(member.GetRole()), Address: member.GetAddress(),
+		AvailabilityZone: member.GetAvailabilityZone(), Active: member.GetActive(), CallerAddress: member.GetCallerAddress(),
+	}
+}
+
+// FromKind encodes a kind of document.
+func FromKind(kind membership.DocumentKind) peerpb.DocumentKind {
+	switch kind {
+	case membership.DocumentConfig:
+		return peerpb.DocumentKind_DOCUMENT_KIND_CONFIG
+	case membership.DocumentFleet:
+		return peerpb.DocumentKind_DOCUMENT_KIND_FLEET
+	case membership.DocumentHomes:
+		return peerpb.DocumentKind_DOCUMENT_KIND_HOMES
+	default:
+		return peerpb.DocumentKind_DOCUMENT_KIND_UNSPECIFIED
+	}
+}
+
+// ToKind decodes a kind of document and reports false for an unknown one.
+func ToKind(kind peerpb.DocumentKind) (membership.DocumentKind, bool) {
+	switch kind {
+	case peerpb.DocumentKind_DOCUMENT_KIND_CONFIG:
+		return membership.DocumentConfig, true
+	case peerpb.DocumentKind_DOCUMENT_KIND_FLEET:
+		return membership.DocumentFleet, true
+	case peerpb.DocumentKind_DOCUMENT_KIND_HOMES:
+		return membership.DocumentHomes, true
+	default:
+		return 0, false
+	}
+}
+
+// milliseconds rounds up, so that an age or a timeout on the wire is never
+// shorter than the real one.
+func milliseconds(d time.Duration) uint32 {
+	rounded := (max(0, d) + time.Millisecond - 1) / time.Millisecond
+	return uint32(min(rounded, math.MaxUint32))
+}
