--- /dev/null
+++ b/gateway/shards.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/gateway/traffic"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// inboxSize bounds the events that wait for a shard. Submissions beyond it are
+// refused; endings of attempts wait.
+const inboxSize = 8192
+
+// shard is one traffic loop with the attempts that it has in flight. It is the
+// Performer of its loop.
+type shard struct {
+	traffic *Traffic
+	number  int
+	loop    *engine.Loop[traffic.State, traffic.Event]
+
+	mu      sync.Mutex
+	cancels map[table.ID]context.CancelFunc
+}
+
+func newShard(t *Traffic, number int) *shard {
+	s := &shard{traffic: t, number: number, cancels: map[table.ID]context.CancelFunc{}}
+	state := traffic.NewState(&t.snapshot, t.config.Seed+uint64(number), t.config.Chooser) //nolint:gosec // 1-64
+	s.loop = engine.NewLoop(traffic.Program(s), state, inboxSize)
+	return s
+}
+
+// shardOf returns the shard that owns the requests of the pool.
+func (t *Traffic) shardOf(pool string) *shard {
+	return t.shards[xxhash.Sum64String(pool)%uint64(len(t.shards))]
+}
+
+// Send starts the round trip of an attempt.
+func (s *shard) Send(send traffic.Send) {
+	ctx, cancel := context.WithCancel(s.traffic.context)
+	s.mu.Lock()
+	s.cancels[send.Attempt] = cancel
+	s.mu.Unlock()
+	if !s.traffic.client.attempts.enter() {
+		go s.finish(&traffic.Finished{Attempt: send.Attempt, Ending: traffic.NotSent})
+		return
+	}
+	go s.roundTrip(ctx, send)
+}
+
+func (s *shard) roundTrip(ctx context.Context, send traffic.Send) {
+	finished, stream := s.traffic.client.roundTrip(ctx, s.attemptID(send.Attempt), send)
+	if stream == nil {
+		s.finish(finished)
+		s.traffic.client.attempts.leave()
+		return
+	}
+	stream.onEnd = func() {
+		s.finish(&traffic.Finished{Attempt: send.Attempt, Ending: traffic.StreamEnded})
+		s.traffic.client.attempts.leave()
+	}
+	s.post(finished)
+}
+
+// finish reports the end of an attempt and releases its context.
+func (s *shard) finish(finished *traffic.Finished) {
+	s.mu.Lock()
+	cancel := s.cancels[finished.Attempt]
+	delete(s.cancels, finished.Attempt)
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	s.post(finished)
+}
+
+// post fails only when the shard has stopped; nothing waits for the event then.
+func (s *shard) post(event traffic.Event) { _ = s.loop.Post(s.traffic.context, event) }
+
+// Abort ends the round trip of an attempt whose answer nobody waits for.
+func (s *shard) Abort(attempt table.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel := s.cancels[attempt]; cancel != nil {
+		cancel()
+	}
+}
+
+// Answer hands a result to the goroutine that waits for it.
+func (s *shard) Answer(reply traffic.Reply) { reply.Submission.Reply <- reply.Result }
+
+// Report hands demand and refusals to control.
+func (s *shard) Report(report traffic.Report) { s.traffic.config.Report(report) }
+
+// attemptID returns the text that a target echoes. It is unique across shards,
+// gateways and restarts, because the generation of a row is never reused.
+func (s *shard) attemptID(id table.ID) string {
+	text := make([]byte, 0, len(s.traffic.config.Incarnation)+24)
+	text = append(text, s.traffic.config.Incarnation...)
+	text = append(text, '-')
+	text = appendHex(text, uint64(s.number)) //nolint:gosec // 1-64
+	text = append(text, '-')
+	return string(appendHex(text, uint64(id)))
+}
--- /dev/null
+++ b/idempotency/tracker.go
@@ -0,0 +1,113 @@
+package idempotency
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxEpochs bounds the history. A key whose run of epochs is longer counts from
+// the oldest epoch kept, which is later than its true takeover and thus safe.
+const maxEpochs = 64
+
+// Tracker follows the epochs of the homes list and the acknowledgements of the
+// listed members. It belongs to the control loop.
+type Tracker struct {
+	self   string
+	epochs []Epoch
+	acks   map[string]uint64 // highest epoch acknowledged, by incarnation
+}
+
+// NewTracker returns a tracker that knows no epoch.
+func NewTracker(self string) *Tracker {
+	return &Tracker{self: self, acks: map[string]uint64{}}
+}
+
+// Observe records a homes list that this gateway has learned of. From then on
+// Epoch returns its epoch, which the gateway acknowledges to its peers. Lower
+// and known epochs are ignored.
+func (t *Tracker) Observe(homes Homes, now time.Time) {
+	current := t.Epoch()
+	if homes.Epoch <= current {
+		return
+	}
+	if homes.Epoch != current+1 {
+		t.epochs = nil // an epoch is missing, so another gateway may have been home
+	}
+	if len(t.epochs) == maxEpochs {
+		t.epochs = slices.Delete(t.epochs, 0, 1)
+	}
+	t.epochs = append(t.epochs, Epoch{Homes: homes})
+	t.acks[t.self] = homes.Epoch
+	t.settle(now)
+}
+
+// Acknowledge records that a member knows of the epoch.
+func (t *Tracker) Acknowledge(incarnation string, epoch uint64, now time.Time) {
+	if epoch <= t.acks[incarnation] {
+		return
+	}
+	t.acks[incarnation] = epoch
+	t.settle(now)
+}
+
+// LeaseLapsed must be called when the store lease of this gateway has lapsed or
+// may have lapsed. The gateway is home of nothing until it observes the list
+// that it reads from the store under its next lease: another gateway may have
+// removed it meanwhile and taken over its keys.
+func (t *Tracker) LeaseLapsed() { t.epochs = nil }
+
+// Epoch returns the highest known epoch, or zero.
+func (t *Tracker) Epoch() uint64 {
+	if len(t.epochs) == 0 {
+		return 0
+	}
+	return t.epochs[len(t.epochs)-1].Epoch
+}
+
+// Current returns the list with the highest known epoch, and false for none.
+func (t *Tracker) Current() (Homes, bool) {
+	if len(t.epochs) == 0 {
+		return Homes{}, false
+	}
+	return t.epochs[len(t.epochs)-1].Homes, true
+}
+
+// Settled reports whether every member of the current epoch has acknowledged it.
+func (t *Tracker) Settled() bool {
+	return len(t.epochs) > 0 && t.epochs[len(t.epochs)-1].Settled
+}
+
+// View returns an immutable view for a snapshot. leaseUntil is the deadline of
+// the own store lease on the local monotonic clock, minus a safety margin.
+func (t *Tracker) View(leaseUntil time.Time, gateways map[string]string) *View {
+	return &View{Self: t.self, LeaseUntil: leaseUntil, Epochs: slices.Clone(t.epochs), Gateways: maps.Clone(gateways)}
+}
+
+// settle marks the current epoch as settled when all members acknowledged it.
+// An acknowledgement of a later epoch than the current one proves that a later
+// list exists, under which the acknowledging member may already act; the
+// current epoch must not become settled any more.
+func (t *Tracker) settle(now time.Time) {
+	if len(t.epochs) == 0 {
+		return
+	}
+	current := &t.epochs[len(t.epochs)-1]
+	if current.Settled || len(current.Members) == 0 {
+		return
+	}
+	for _, member := range current.Members {
+		if t.acks[member.Incarnation] != current.Epoch {
+			return
+		}
+	}
+	current.Settled, current.SettledAt = true, now
+	t.forget(current)
+}
+
+// forget drops acknowledgements of gateways that are no longer listed.
+func (t *Tracker) forget(current *Epoch) {
+	maps.DeleteFunc(t.acks, func(incarnation string, epoch uint64) bool {
+		return incarnation != t.self && epoch <= current.Epoch && !current.Contains(incarnation)
+	})
+}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -66,6 +66,8 @@
 	ReasonBeforeTakeover Reason = "before-takeover" // the key may have been used at the previous home
 	ReasonHomeNoAnswer   Reason = "home-no-answer"  // the key's home did not answer
 	ReasonAnswerDropped  Reason = "answer-dropped"  // the request completed, but its answer is no longer kept
+	ReasonKeyExpired     Reason = "key-expired"     // the key is older than the records that its home keeps
+	ReasonCallerGone     Reason = "caller-gone"     // the caller went away after the request was sent
 )
 
 // Outcome is the result of a request.
--- /dev/null
+++ b/routing/class.go
@@ -0,0 +1,46 @@
+// Package routing decides which waiting request goes to which target: quotas,
+// weighted fair queueing between tenants, classes, retry budgets, target choice
+// and outlier ejection. It does no I/O and reads the time only from its
+// arguments, so that systems built on it are deterministic.
+package routing
+
+import "fmt"
+
+// Class is the urgency of a request. Lower values are dispatched first.
+type Class uint8
+
+// The classes of requests.
+const (
+	Urgent Class = iota
+	Quick
+	Long
+	// ClassCount is the number of classes, for arrays indexed by class.
+	ClassCount = 3
+)
+
+// ClassNames lists the accepted names, for error messages.
+const ClassNames = "urgent, quick, long"
+
+// String returns the form used in headers and metrics.
+func (c Class) String() string {
+	switch c {
+	case Urgent:
+		return "urgent"
+	case Quick:
+		return "quick"
+	case Long:
+		return "long"
+	default:
+		return "invalid"
+	}
+}
+
+// ParseClass returns the class with the given name.
+func ParseClass(name string) (Class, error) {
+	for class := Urgent; class < ClassCount; class++ {
+		if class.String() == name {
+			return class, nil
+		}
+	}
+	return 0, fmt.Errorf("%q is not one of %s", name, ClassNames)
+}
--- /dev/null
+++ b/table/heap.go
@@ -0,0 +1,118 @@
+package table
+
+// Priority is the order of a Heap: Compare returns a negative number if the
+// receiver comes first. time.Time is a Priority.
+type Priority[P any] interface {
+	Compare(other P) int
+}
+
+// Heap is a min-heap of rows of one table, for deadlines and queue tags. Rows
+// with equal priority leave in the order in which they were put, so that
+// systems stay deterministic. A row must be removed before it is deleted from
+// its table. The zero value is empty.
+type Heap[P Priority[P]] struct {
+	items     []heapItem[P]
+	positions []int32 // index+1 into items by slot of the row, 0 for absent
+	seq       uint64
+}
+
+type heapItem[P any] struct {
+	priority P
+	seq      uint64
+	id       ID
+}
+
+// Len returns the number of rows.
+func (h *Heap[P]) Len() int { return len(h.items) }
+
+// Min returns the first row and its priority.
+func (h *Heap[P]) Min() (ID, P, bool) {
+	if len(h.items) == 0 {
+		var none P
+		return 0, none, false
+	}
+	return h.items[0].id, h.items[0].priority, true
+}
+
+// Put adds the row or changes its priority.
+func (h *Heap[P]) Put(id ID, priority P) {
+	h.seq++
+	item := heapItem[P]{priority: priority, seq: h.seq, id: id}
+	if i := h.find(id); i >= 0 {
+		h.items[i] = item
+		h.fix(i)
+		return
+	}
+	h.items = append(h.items, item)
+	h.fix(len(h.items) - 1)
+}
+
+// Remove takes the row out and reports whether it was present.
+func (h *Heap[P]) Remove(id ID) bool {
+	i := h.find(id)
+	if i < 0 {
+		return false
+	}
+	last := len(h.items) - 1
+	h.positions[id.slot()] = 0
+	moved := h.items[last]
+	h.items[last] = heapItem[P]{}
+	h.items = h.items[:last]
+	if i < last {
+		h.items[i] = moved
+		h.fix(i)
+	}
+	return true
+}
+
+func (h *Heap[P]) find(id ID) int {
+	slot := id.slot()
+	if slot >= len(h.positions) || h.positions[slot] == 0 {
+		return -1
+	}
+	i := int(h.positions[slot]) - 1
+	if h.items[i].id != id {
+		return -1
+	}
+	return i
+}
+
+func (h *Heap[P]) less(a, b *heapItem[P]) bool {
+	if order := a.priority.Compare(b.priority); order != 0 {
+		return order < 0
+	}
+	return a.seq < b.seq
+}
+
+// fix moves the item at i to its place and records the positions on the way.
+func (h *Heap[P]) fix(i int) {
+	item := h.items[i]
+	for i > 0 && h.less(&item, &h.items[(i-1)/2]) {
+		h.place(i, h.items[(i-1)/2])
+		i = (i - 1) / 2
+	}
+	for {
+		child := 2*i + 1
+		if child >= len(h.items) {
+			break
+		}
+		if child+1 < len(h.items) && h.less(&h.items[child+1], &h.items[child]) {
+			child++
+		}
+		if !h.less(&h.items[child], &item) {
+			break
+		}
+		h.place(i, h.items[child])
+		i = child
+	}
+	h.place(i, item)
+}
+
+func (h *Heap[P]) place(i int, item heapItem[P]) {
+	h.items[i] = item
+	slot := item.id.slot()
+	for len(h.positions) <= slot {
+		h.positions = append(h.positions, 0)
+	}
+	h.positions[slot] = int32(i + 1) //nolint:gosec // bounded by maxSlots
+}
