--- a/controller/events.go
+++ b/controller/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/exchange"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/membership"
 	"github.com/waxwingbridge/waxwingbridge/node"
@@ -20,10 +21,10 @@
 	Observed struct{ Event node.Event }
 	// PeerMessage is a message of the peer exchange.
 	PeerMessage struct{ Received membership.Received }
-	// PeerFetched is the end of a fetch from a peer; Document is empty if it failed.
+	// PeerFetched is the end of a fetch from a peer.
 	PeerFetched struct {
-		Fetch    membership.Fetch
-		Document []byte
+		Fetched  exchange.Fetched
+		Document node.Event // decoded, nil if none was delivered
 	}
 	// LeaderClaimed ends ClaimLeader. Revision is zero if the key was not created.
 	LeaderClaimed struct {
@@ -77,22 +78,10 @@
 func (e PeerMessage) apply(s *State, _ engine.Tick) { s.Peers.Receive(e.Received) }
 
 func (e PeerFetched) apply(s *State, tick engine.Tick) {
-	if len(e.Document) > 0 {
-		s.View.Apply(tick, node.PeerDocument{Kind: nodeKind(e.Fetch.Kind), Document: e.Document})
-		reportRevisions(s, tick)
-	}
-	s.Peers.FetchFinished(e.Fetch.Kind, e.Fetch.Peer, tick.Now)
-}
-
-func nodeKind(kind membership.DocumentKind) node.DocumentKind {
-	switch kind {
-	case membership.DocumentConfig:
-		return node.DocumentConfig
-	case membership.DocumentFleet:
-		return node.DocumentFleet
-	default:
-		return node.DocumentHomes
+	if e.Document != nil {
+		s.View.Apply(tick, e.Document)
 	}
+	node.FinishFetch(s.View, s.Peers, tick, e.Fetched)
 }
 
 func (e JobEvent) apply(s *State, tick engine.Tick) { placement.Apply(s.Jobs, tick, e.Event) }
--- /dev/null
+++ b/controller/job_calls.go
@@ -0,0 +1,167 @@
+package controller
+
+import (
+	"context"
+	"sync"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/peerapi"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+)
+
+// jobReplies matches the answers of job placement with the calls that wait for
+// them. Calls run on goroutines of the drpc server.
+type jobReplies struct {
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan placement.Answer
+}
+
+func (r *jobReplies) open() (uint64, <-chan placement.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.waiting == nil {
+		r.waiting = map[uint64]chan placement.Answer{}
+	}
+	r.last++
+	reply := make(chan placement.Answer, 1)
+	r.waiting[r.last] = reply
+	return r.last, reply
+}
+
+// take returns the channel of a token once, or nil if its call is gone.
+func (r *jobReplies) take(token uint64) chan<- placement.Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := r.waiting[token]
+	delete(r.waiting, token)
+	return reply
+}
+
+func (p *performer) answerJob(answer placement.Answer) {
+	if reply := p.replies.take(answer.Reply); reply != nil {
+		reply <- answer
+	}
+}
+
+// SubmitJob serves the call of a gateway. The answer comes after the commit of
+// the job's page.
+func (c *Controller) SubmitJob(ctx context.Context, job peerapi.JobSubmission) peerapi.JobAnswer {
+	return c.jobCall(ctx, job.ID, func(token uint64) placement.Event {
+		return placement.Submitted{Spec: jobSpec(&job), Reply: token}
+	})
+}
+
+// CancelJob serves the call of a gateway.
+func (c *Controller) CancelJob(ctx context.Context, job peerapi.JobReference) peerapi.JobAnswer {
+	return c.jobCall(ctx, job.ID, func(token uint64) placement.Event {
+		return placement.CancelRequested{Job: job.ID, Tenant: job.Tenant, Reply: token}
+	})
+}
+
+// GetJob serves the call of a gateway.
+func (c *Controller) GetJob(ctx context.Context, job peerapi.JobReference) peerapi.JobAnswer {
+	answer := peerapi.JobAnswer{ID: job.ID}
+	response := c.request(ctx, "", getJob(job))
+	switch response.Status {
+	case StatusDone:
+		view := response.Value.(placement.View)
+		answer = jobAnswer(view, outcome.Complete())
+	case StatusNotActive:
+		answer.Outcome = outcome.NotRunBecause(outcome.ReasonNoController)
+		answer.ActiveController = c.published.Load().leader.PeerAddress
+	default:
+		answer.Outcome = outcome.NotRunBecause(outcome.Reason(response.Reason))
+	}
+	return answer
+}
+
+// jobCall posts the event and waits for its answer. A call whose event was
+// posted and that gets no answer is unknown.
+func (c *Controller) jobCall(ctx context.Context, id string, event func(token uint64) placement.Event) peerapi.JobAnswer {
+	if published := c.published.Load(); !published.active {
+		return peerapi.JobAnswer{
+			ID: id, Outcome: outcome.NotRunBecause(outcome.ReasonNoController), ActiveController: published.leader.PeerAddress,
+		}
+	}
+	token, reply := c.performer.replies.open()
+	defer c.performer.replies.take(token)
+	if err := c.loop.Post(ctx, JobEvent{event(token)}); err != nil {
+		return peerapi.JobAnswer{ID: id, Outcome: outcome.NotRunBecause(outcome.ReasonNoController)}
+	}
+	select {
+	case answer := <-reply:
+		return c.placementAnswer(id, answer)
+	case <-ctx.Done():
+		return peerapi.JobAnswer{ID: id, Outcome: outcome.UnknownBecause(outcome.ReasonAnswerTimeout)}
+	case <-c.stopped:
+		return peerapi.JobAnswer{ID: id, Outcome: outcome.UnknownBecause(outcome.ReasonConnectionLost)}
+	}
+}
+
+func (c *Controller) placementAnswer(id string, answer placement.Answer) peerapi.JobAnswer {
+	result := jobAnswer(answer.Job, outcome.Outcome{Kind: answer.Outcome, Reason: outcome.Reason(answer.Reason)})
+	result.ID = id
+	if answer.Reason == placement.ReasonNotActive {
+		result.ActiveController = c.published.Load().leader.PeerAddress
+	}
+	return result
+}
+
+func jobAnswer(view placement.View, result outcome.Outcome) peerapi.JobAnswer {
+	return peerapi.JobAnswer{
+		Outcome: result, ID: view.ID, State: string(view.State), Detail: view.Detail, Worker: view.Worker,
+		Attempts: uint32(max(0, view.Attempts)), //nolint:gosec // bounded by the number of workers
+	}
+}
+
+var jobClasses = map[string]placement.Class{
+	"urgent": placement.ClassUrgent, "quick": placement.ClassQuick, "long": placement.ClassLong,
+}
+
+func jobSpec(job *peerapi.JobSubmission) placement.Spec {
+	return placement.Spec{
+		ID: job.ID, Tenant: job.Tenant, Pool: job.Pool, Class: jobClasses[job.Class], Family: job.Family,
+		Size:    placement.Resources{MilliCores: int(job.MilliCores), MemoryMB: int(job.MemoryMB), Accelerators: int(job.Accelerators)},
+		RunTime: job.RunTime, Idempotent: job.Idempotent, Payload: job.Payload, Priority: int(job.Priority),
+		AvailabilityZone: job.AvailabilityZone, SpreadRacks: job.SpreadRacks,
+	}
+}
+
+// getJobCommand asks for one job of a tenant.
+type getJobCommand struct{ job peerapi.JobReference }
+
+func getJob(job peerapi.JobReference) Command { return getJobCommand{job} }
+
+func (q getJobCommand) execute(s *State, _ engine.Tick, r *Request) {
+	if !s.Active() {
+		s.answer(r, s.notActive())
+		return
+	}
+	view, ok := s.Jobs.Get(q.job.ID)
+	if !ok || view.Tenant != q.job.Tenant {
+		s.answer(r, Response{Status: StatusNotFound, Reason: string(placement.ReasonNotFound)})
+		return
+	}
+	s.answer(r, Response{Status: StatusDone, Value: view})
+}
+
+// cancelAsOperator cancels a job of any tenant.
+func (c *Controller) cancelAsOperator(ctx context.Context, id string) Response {
+	answer := c.CancelJob(ctx, peerapi.JobReference{ID: id})
+	switch {
+	case answer.Outcome.Kind == outcome.Completed:
+		return Response{Status: StatusDone, Value: JobReport{ID: id, State: answer.State, Detail: answer.Detail, Worker: answer.Worker}}
+	case answer.Outcome.Kind == outcome.Unknown:
+		return Response{Status: StatusUnknown, Reason: string(answer.Outcome.Reason)}
+	case answer.Outcome.Reason == outcome.Reason(placement.ReasonNotFound):
+		return Response{Status: StatusNotFound, Reason: string(answer.Outcome.Reason), Detail: "no job " + id}
+	case answer.Outcome.Reason == outcome.ReasonNoController:
+		return Response{
+			Status: StatusNotActive, Reason: string(answer.Outcome.Reason), ActiveController: c.published.Load().leader.PublicAddress,
+		}
+	default:
+		return Response{Status: StatusConflict, Reason: string(answer.Outcome.Reason)}
+	}
+}
--- a/controller/job_performer.go
+++ b/controller/job_performer.go
@@ -30,7 +30,7 @@
 	if err != nil || value.Revision == 0 {
 		return placement.PageAt{Page: placement.Page{Index: index}}, err
 	}
-	page, err := pagecodec.Decode(value.Data)
+	page, err := pagecodec.Decode(index, value.Data)
 	return placement.PageAt{Page: page, Revision: int64(value.Revision), WriteID: value.WriteID}, err
 }
 
@@ -40,7 +40,7 @@
 func (p *performer) writePage(e placement.WritePage) func(context.Context) Event {
 	return func(ctx context.Context) Event {
 		result := placement.PageResult{Index: e.Page.Index, WriteID: e.WriteID}
-		data, err := pagecodec.Encode(&e.Page)
+		data, err := pagecodec.Encode(e.Page)
 		if err != nil {
 			result.Result = placement.WriteNotApplied
 			return JobEvent{result}
--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -64,11 +64,13 @@
 		return
 	}
 	reason := lead.steppingDown
+	own := s.View.Leader.Revision == lead.leaderRevision
+	lead.confirmed = lead.confirmed || own
 	switch {
 	case reason != "":
 	case !tick.Now.Before(s.View.LeaseDeadline):
 		reason = "lease-lapsed"
-	case s.View.Leader.Revision > lead.leaderRevision:
+	case !own && (lead.confirmed || s.View.Leader.Revision > lead.leaderRevision):
 		reason = "leader-replaced"
 	case s.Jobs.Fenced():
 		reason = "job-page-fenced"
--- a/controller/performer.go
+++ b/controller/performer.go
@@ -27,6 +27,7 @@
 	platform platform.Platform
 	keys     node.Keys
 	self     node.Identity
+	replies  jobReplies
 	running  sync.WaitGroup
 }
 
--- a/controller/reconcile.go
+++ b/controller/reconcile.go
@@ -55,9 +55,6 @@
 	s.Peers.SetActive(s.Active())
 }
 
-// reportPeers logs changes of the peer table.
-func reportPeers(s *State, _ engine.Tick) { node.LogPeerChanges(s.View, s.Peers) }
-
 // followMembers hands the registrations of the store to the peer exchange.
 func followMembers(s *State, tick engine.Tick) { node.FollowMembers(s.View, s.Peers, tick) }
 
--- a/controller/requests.go
+++ b/controller/requests.go
@@ -45,7 +45,9 @@
 }
 
 // Command is what an operator asks for.
-type Command interface{ execute(*State, engine.Tick, *Request) }
+type Command interface {
+	execute(*State, engine.Tick, *Request)
+}
 
 type (
 	// Disrupt starts an operation on a worker. IfRevision, if not zero, is the
--- a/controller/state.go
+++ b/controller/state.go
@@ -71,6 +71,7 @@
 type leadership struct {
 	phase          phase
 	leaderRevision store.Revision // of the own leader key
+	confirmed      bool           // the watch has shown the own leader key
 	quietUntil     time.Time      // no platform call before
 	retryAt        time.Time
 	steppingDown   string // reason, empty while none
--- a/controller/systems.go
+++ b/controller/systems.go
@@ -18,7 +18,6 @@
 	}
 	systems = append(systems, engine.Lift(func(s *State) *membership.State { return s.Peers }, membership.Systems())...)
 	systems = append(systems,
-		engine.System[State]{Name: "report peers", Run: reportPeers},
 		engine.System[State]{Name: "retreat", Run: retreat},
 		engine.System[State]{Name: "campaign", Run: campaign},
 		engine.System[State]{Name: "reconcile list", Run: reconcileList},
--- a/node/events.go
+++ b/node/events.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/idempotency"
 	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
 
@@ -12,20 +15,36 @@
 type Event interface{ nodeEvent() }
 
 type (
-	// SharedValue is a value under the shared prefix as the watch delivered it.
-	SharedValue struct {
-		Value   store.Value
-		Deleted bool
+	// ConfigSeen is a configuration document. Revision is zero if a peer delivered it.
+	ConfigSeen struct {
+		Document *policy.Document
+		Revision store.Revision
+	}
+	// FleetSeen is a fleet document. Revision is zero if a peer delivered it.
+	FleetSeen struct {
+		Document *fleet.Document
+		Revision store.Revision
+	}
+	// HomesSeen is a list of the homes of idempotency keys.
+	HomesSeen struct {
+		Homes    *idempotency.Homes
+		Revision store.Revision
+	}
+	// LeaderSeen is the identity of the active controller. A zero revision means
+	// that the key was deleted.
+	LeaderSeen struct {
+		Identity Identity
+		Revision store.Revision
+	}
+	// ValueInvalid reports a value that cannot be decoded.
+	ValueInvalid struct {
+		Key string
+		Err error
 	}
 	// StoreConfirmed says that the watch had seen every change at At.
 	StoreConfirmed struct{ At time.Time }
 	// StoreLost says that the watch ended.
 	StoreLost struct{ Err error }
-	// PeerDocument is a document that a peer delivered.
-	PeerDocument struct {
-		Kind     DocumentKind
-		Document []byte
-	}
 	// WorkersListed is one answer of the platform's lagging list; Asked is the
 	// moment before the call.
 	WorkersListed struct {
@@ -46,20 +65,13 @@
 	}
 )
 
-func (SharedValue) nodeEvent()    {}
+func (ConfigSeen) nodeEvent()     {}
+func (FleetSeen) nodeEvent()      {}
+func (HomesSeen) nodeEvent()      {}
+func (LeaderSeen) nodeEvent()     {}
+func (ValueInvalid) nodeEvent()   {}
 func (StoreConfirmed) nodeEvent() {}
 func (StoreLost) nodeEvent()      {}
-func (PeerDocument) nodeEvent()   {}
 func (WorkersListed) nodeEvent()  {}
 func (MembersListed) nodeEvent()  {}
 func (LeaseChanged) nodeEvent()   {}
-
-// DocumentKind names a shared document.
-type DocumentKind uint8
-
-// The shared documents.
-const (
-	DocumentConfig DocumentKind = iota + 1
-	DocumentFleet
-	DocumentHomes
-)
--- a/node/peers.go
+++ b/node/peers.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"encoding/json"
+
 	"github.com/waxwingbridge/waxwingbridge/engine"
-	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/exchange"
 	"github.com/waxwingbridge/waxwingbridge/membership"
+	"github.com/waxwingbridge/waxwingbridge/policy"
 )
 
 // Member converts the identity to the form of the peer exchange.
@@ -24,6 +27,9 @@
 		peers.SetRevision(membership.DocumentFleet, v.Fleet.Revision, tick.Now)
 		peers.SetFleetView(v.Fleet.Epoch, v.FleetConfirmed())
 	}
+	if v.Homes != nil {
+		peers.SetRevision(membership.DocumentHomes, v.Homes.Epoch, tick.Now)
+	}
 }
 
 // FollowMembers hands new registrations to the peer exchange.
@@ -39,22 +45,31 @@
 	peers.SetMembers(members, tick.Now)
 }
 
-// LogPeerChanges turns changes of the peer table into log events.
-func LogPeerChanges(v *View, peers *membership.State) {
-	peers.Changes.Drain(func(change membership.Change) {
-		fields := []events.Field{
-			events.F("peer", change.Member.Incarnation), events.F("address", change.Member.Address),
-			events.F("peer_role", change.Member.Role),
+// FinishFetch tells the peer exchange that a fetch ended. The document, if one
+// was delivered, has been applied before.
+func FinishFetch(v *View, peers *membership.State, tick engine.Tick, fetched exchange.Fetched) {
+	ReportView(v, peers, tick)
+	peers.FetchFinished(fetched.Kind, fetched.Peer, tick.Now)
+}
+
+// PublishDocuments hands new documents to the exchange, which serves them to peers.
+func PublishDocuments(v *View, e *exchange.Exchange) {
+	if v.Config != nil && v.Config != v.publishedConfig {
+		if data, err := policy.Encode(v.Config); err == nil {
+			e.Publish(membership.DocumentConfig, uint64(v.Config.Revision), data)
+			v.publishedConfig = v.Config
 		}
-		switch change.Kind {
-		case membership.PeerJoined:
-			v.Log(events.PeerJoined, fields...)
-		case membership.PeerSuspected:
-			v.Log(events.PeerSuspected, fields...)
-		case membership.PeerRecovered:
-			v.Log(events.PeerRecovered, fields...)
-		case membership.PeerReplaced, membership.PeerRemoved:
-			v.Log(events.PeerRemoved, fields...)
+	}
+	if v.Fleet != nil && v.Fleet != v.publishedFleet {
+		if data, err := json.Marshal(v.Fleet); err == nil {
+			e.Publish(membership.DocumentFleet, v.Fleet.Revision, data)
+			v.publishedFleet = v.Fleet
+		}
+	}
+	if v.Homes != nil && v.Homes != v.publishedHomes {
+		if data, err := json.Marshal(v.Homes); err == nil {
+			e.Publish(membership.DocumentHomes, v.Homes.Epoch, data)
+			v.publishedHomes = v.Homes
 		}
-	})
+	}
 }
--- a/node/view.go
+++ b/node/view.go
@@ -1,13 +1,13 @@
 package node
 
 import (
-	"encoding/json"
 	"strings"
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/idempotency"
 	"github.com/waxwingbridge/waxwingbridge/platform"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
@@ -38,8 +38,9 @@
 	// the fleet document.
 	FleetChanged map[string]time.Time
 
-	Homes  store.Value // undecoded
-	Leader Leader
+	Homes         *idempotency.Homes // nil until known
+	HomesRevision store.Revision     // zero if a peer delivered the list
+	Leader        Leader
 
 	StoreConnected bool
 	StoreConfirmed time.Time // the watch had seen every change at this time
@@ -56,6 +57,11 @@
 	memberTableKnown bool
 	membersTold      time.Time // RegisteredAt that the peer exchange knows
 
+	// What peers can fetch.
+	publishedConfig *policy.Document
+	publishedFleet  *fleet.Document
+	publishedHomes  *idempotency.Homes
+
 	Logs table.Outbound[events.Record]
 }
 
@@ -78,14 +84,20 @@
 // Apply records an event.
 func (v *View) Apply(tick engine.Tick, event Event) {
 	switch e := event.(type) {
-	case SharedValue:
-		v.applyShared(tick, e)
+	case ConfigSeen:
+		v.seeConfig(tick, e)
+	case FleetSeen:
+		v.seeFleet(tick, e)
+	case HomesSeen:
+		v.seeHomes(e)
+	case LeaderSeen:
+		v.Leader = Leader(e)
+	case ValueInvalid:
+		v.Log(events.StoreValueInvalid, events.F("key", e.Key), events.Err(e.Err))
 	case StoreConfirmed:
 		v.confirmStore(e.At)
 	case StoreLost:
 		v.loseStore(e.Err)
-	case PeerDocument:
-		v.applyPeerDocument(tick, e)
 	case WorkersListed:
 		v.applyList(tick, e)
 	case MembersListed:
@@ -100,58 +112,46 @@
 // MembersKnown reports whether the registrations were read at least once.
 func (v *View) MembersKnown() bool { return v.memberTableKnown }
 
-func (v *View) applyShared(tick engine.Tick, e SharedValue) {
-	switch e.Value.Key {
-	case v.Keys.Config():
-		if !e.Deleted && v.adoptConfig(tick, e.Value.Data) {
-			v.ConfigRevision = e.Value.Revision
-		}
-	case v.Keys.Fleet():
-		if !e.Deleted && v.adoptFleet(tick, e.Value.Data) {
-			v.FleetRevision = e.Value.Revision
-		}
-	case v.Keys.Homes():
-		if !e.Deleted && e.Value.Revision > v.Homes.Revision {
-			v.Homes = e.Value
+// seeConfig takes a document with a higher revision. A lower one is ignored, so
+// that an accepted configuration never reverts.
+func (v *View) seeConfig(tick engine.Tick, e ConfigSeen) {
+	if v.Config != nil && e.Document.Revision <= v.Config.Revision {
+		if e.Document.Revision < v.Config.Revision {
+			v.Log(events.ConfigOlder, events.F("revision", e.Document.Revision), events.F("in_force", v.Config.Revision))
+		} else {
+			v.ConfigRevision = max(v.ConfigRevision, e.Revision)
 		}
-	case v.Keys.Leader():
-		v.applyLeader(e)
+		return
 	}
+	v.putInForce(tick, e.Document)
+	v.ConfigRevision = e.Revision
 }
 
-func (v *View) applyLeader(e SharedValue) {
-	if e.Deleted {
-		v.Leader = Leader{}
-		return
-	}
-	var identity Identity
-	if err := json.Unmarshal(e.Value.Data, &identity); err != nil {
-		v.invalidValue(e.Value.Key, err)
-		return
+func (v *View) resolve(now time.Time) {
+	v.Policy = policy.Resolve(v.Config, now)
+	v.nextExpiry = v.Policy.NextExpiry(now)
+}
+
+// ExpireExceptions resolves the policy anew when an exception has expired.
+func (v *View) ExpireExceptions(tick engine.Tick) {
+	if v.Config != nil && !v.nextExpiry.IsZero() && !tick.Now.Before(v.nextExpiry) {
+		v.resolve(tick.Now)
 	}
-	v.Leader = Leader{Identity: identity, Revision: e.Value.Revision}
 }
 
-func (v *View) invalidValue(key string, err error) {
-	v.Log(events.StoreValueInvalid, events.F("key", key), events.Err(err))
+func (v *View) seeFleet(tick engine.Tick, e FleetSeen) {
+	if v.AdoptFleet(tick, e.Document) && e.Revision != 0 {
+		v.FleetRevision = e.Revision
+	}
 }
 
-// adoptConfig takes a document with a higher revision and reports whether the
-// bytes are those of the document now in force.
-func (v *View) adoptConfig(tick engine.Tick, data []byte) bool {
-	doc, err := policy.Decode(data)
-	if err != nil {
-		v.Log(events.ConfigRejected, events.Err(err))
-		return false
+func (v *View) seeHomes(e HomesSeen) {
+	if v.Homes == nil || e.Homes.Epoch > v.Homes.Epoch {
+		v.Homes = e.Homes
 	}
-	if v.Config != nil && doc.Revision <= v.Config.Revision {
-		if doc.Revision < v.Config.Revision {
-			v.Log(events.ConfigOlder, events.F("revision", doc.Revision), events.F("in_force", v.Config.Revision))
-		}
-		return doc.Revision == v.Config.Revision
+	if e.Homes.Epoch == v.Homes.Epoch && e.Revision != 0 {
+		v.HomesRevision = e.Revision
 	}
-	v.putInForce(tick, doc)
-	return true
 }
 
 // AdoptConfig takes a document that this process wrote itself.
@@ -170,29 +170,6 @@
 	v.Log(events.ConfigInForce, events.F("revision", doc.Revision), events.F("author", doc.Author))
 }
 
-func (v *View) resolve(now time.Time) {
-	v.Policy = policy.Resolve(v.Config, now)
-	v.nextExpiry = v.Policy.NextExpiry(now)
-}
-
-// ExpireExceptions resolves the policy anew when an exception has expired.
-func (v *View) ExpireExceptions(tick engine.Tick) {
-	if v.Config != nil && !v.nextExpiry.IsZero() && !tick.Now.Before(v.nextExpiry) {
-		v.resolve(tick.Now)
-	}
-}
-
-// adoptFleet takes a document with a higher revision and reports whether the
-// bytes are those of the document now held.
-func (v *View) adoptFleet(tick engine.Tick, data []byte) bool {
-	doc := new(fleet.Document)
-	if err := json.Unmarshal(data, doc); err != nil {
-		v.invalidValue(v.Keys.Fleet(), err)
-		return false
-	}
-	return v.AdoptFleet(tick, doc)
-}
-
 // AdoptFleet takes a document with a higher revision and reports whether it is
 // the document now held.
 func (v *View) AdoptFleet(tick engine.Tick, doc *fleet.Document) bool {
@@ -226,16 +203,6 @@
 	}
 }
 
-func (v *View) applyPeerDocument(tick engine.Tick, e PeerDocument) {
-	switch e.Kind {
-	case DocumentConfig:
-		v.adoptConfig(tick, e.Document)
-	case DocumentFleet:
-		v.adoptFleet(tick, e.Document)
-	case DocumentHomes:
-	}
-}
-
 func (v *View) confirmStore(at time.Time) {
 	if !v.StoreConnected {
 		v.StoreConnected = true
--- a/node/watcher.go
+++ b/node/watcher.go
@@ -26,10 +26,10 @@
 
 // WatchShared watches the shared prefix until the context ends and posts every
 // value. After a loss it watches again with jittered backoff.
-func WatchShared(ctx context.Context, s store.Store, prefix string, post Post) {
+func WatchShared(ctx context.Context, s store.Store, keys Keys, post Post) {
 	backoff := &store.Backoff{Base: minWatchBackoff, Max: maxWatchBackoff}
 	for ctx.Err() == nil {
-		err := watchOnce(ctx, s, prefix, post, backoff.Reset)
+		err := watchOnce(ctx, s, keys, post, backoff.Reset)
 		if ctx.Err() != nil || post(ctx, StoreLost{Err: err}) != nil {
 			return
 		}
@@ -39,29 +39,35 @@
 	}
 }
 
-func watchOnce(ctx context.Context, s store.Store, prefix string, post Post, connected func()) error {
+func watchOnce(ctx context.Context, s store.Store, keys Keys, post Post, connected func()) error {
 	watchContext, cancel := context.WithCancel(ctx)
 	defer cancel()
-	changes, err := s.Watch(watchContext, prefix)
+	changes, err := s.Watch(watchContext, keys.Shared())
 	if err != nil {
 		return err
 	}
+	leaderSeen, listed := false, false
 	for change := range changes {
 		connected()
-		if err := post(ctx, watchEvent(change)); err != nil {
+		leaderSeen = leaderSeen || change.Value.Key == keys.Leader()
+		if change.Progress && !listed {
+			listed = true
+			// The key may have been deleted while the watch was lost.
+			if !leaderSeen && post(ctx, LeaderSeen{}) != nil {
+				return ctx.Err()
+			}
+		}
+		event := watchEvent(keys, change)
+		if event == nil {
+			continue
+		}
+		if err := post(ctx, event); err != nil {
 			return err
 		}
 	}
 	return store.ErrUnavailable
 }
 
-func watchEvent(change store.Event) Event {
-	if change.Progress {
-		return StoreConfirmed{At: time.Now()}
-	}
-	return SharedValue{Value: change.Value, Deleted: change.Deleted}
-}
-
 // ListWorkers polls the platform's VM list until the context ends.
 func ListWorkers(ctx context.Context, p platform.Platform, interval time.Duration, post Post) {
 	for {
