--- /dev/null
+++ b/standin/platform/api.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/platform/httpapi"
+)
+
+const maxAPIBody = 1 << 20
+
+func (s *Server) handler() http.Handler {
+	api := http.NewServeMux()
+	api.HandleFunc("GET "+httpapi.PathWorkers, s.listWorkers)
+	api.HandleFunc("GET "+httpapi.PathWorkers+"/{id}", s.getWorker)
+	api.HandleFunc("GET "+httpapi.PathTasks, s.listTasks)
+	kinds := map[string]requestKind{
+		httpapi.PathDrain: requestDrain, httpapi.PathUndrain: requestUndrain,
+		httpapi.PathReboot: requestReboot, httpapi.PathAssign: requestAssign,
+	}
+	for path, kind := range kinds {
+		mutation(s, api, path, func(body httpapi.WorkerRequest) *request { return &request{kind: kind, worker: body} })
+	}
+	mutation(s, api, httpapi.PathTasks, func(body platform.TaskSpec) *request {
+		return &request{kind: requestStart, spec: body}
+	})
+	mutation(s, api, httpapi.PathTasksRenew, func(body httpapi.RenewRequest) *request {
+		return &request{kind: requestRenew, renew: body}
+	})
+	mutation(s, api, httpapi.PathTasksControl, func(body httpapi.TaskRequest) *request {
+		return &request{kind: requestControl, task: body}
+	})
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", s.unlessDown(api))
+	s.handleAdmin(mux)
+	return mux
+}
+
+// unlessDown breaks the connection while the platform is down, and after the
+// effect while its answers are lost.
+func (s *Server) unlessDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.faults.Load().PlatformDown {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func mutation[B any](s *Server, mux *http.ServeMux, path string, build func(B) *request) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		var body B
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAPIBody)).Decode(&body); err != nil {
+			writeAPIError(w, rejected("body: %v", err))
+			return
+		}
+		_, err := s.call(r.Context(), build(body))
+		if s.faults.Load().PlatformLoseAnswers {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
+			writeAPIError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, struct{}{})
+	})
+}
+
+func writeAPIError(w http.ResponseWriter, err error) {
+	status := http.StatusServiceUnavailable
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		status = http.StatusNotFound
+	case errors.Is(err, platform.ErrRejected):
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, httpapi.ErrorBody{Error: err.Error()})
+}
+
+func (s *Server) listWorkers(w http.ResponseWriter, r *http.Request) {
+	answer, err := s.call(r.Context(), &request{kind: requestList})
+	if err != nil {
+		writeAPIError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer.workers)
+}
+
+func (s *Server) listTasks(w http.ResponseWriter, r *http.Request) {
+	answer, err := s.call(r.Context(), &request{kind: requestTasks})
+	if err != nil {
+		writeAPIError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer.tasks)
+}
+
+func (s *Server) getWorker(w http.ResponseWriter, r *http.Request) {
+	answer, err := s.call(r.Context(), &request{kind: requestGet, worker: httpapi.WorkerRequest{Worker: r.PathValue("id")}})
+	if err != nil {
+		writeAPIError(w, err)
+		return
+	}
+	worker := answer.workers[0]
+	// The count is read after the status, so that a count of zero of a draining
+	// worker stays zero.
+	worker.Requests, err = s.options.Targets.InFlight(r.Context(), worker.ID)
+	if err != nil {
+		writeAPIError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, worker)
+}
+
+// Worker returns the current state of a worker, without its target's count.
+func (s *Server) Worker(id string) (platform.Worker, bool) {
+	var found platform.Worker
+	var ok bool
+	s.control(func(st *state, _ time.Time) {
+		if row, worker := st.worker(id); worker != nil {
+			found, ok = st.view(row, worker), true
+		}
+	})
+	return found, ok
+}
--- /dev/null
+++ b/standin/platform/fleet.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/settings"
+	"github.com/waxwingbridge/waxwingbridge/standin/target"
+)
+
+// PoolSize is a pool and its number of workers.
+type PoolSize struct {
+	Name    string
+	Workers int
+}
+
+// FleetSpec describes a fleet for BuildWorkers.
+type FleetSpec struct {
+	Pools        []PoolSize
+	Zones        int
+	RackSize     int
+	Cores        int
+	MemoryMB     int
+	Accelerators int
+	// TargetHost and FirstPort give the workers consecutive target addresses.
+	// Without a port, the caller fills the addresses in.
+	TargetHost string
+	FirstPort  int
+}
+
+// DefaultFleet is the fleet of the current size at Žarište.
+func DefaultFleet() FleetSpec {
+	return FleetSpec{
+		Pools: []PoolSize{{"orders", 9}, {"ledger", 9}, {"bookings", 11}, {"reports", 12}, {"spare", 8}},
+		Zones: 3, RackSize: 4, Cores: 32, MemoryMB: 64 << 10, TargetHost: "127.0.0.1",
+	}
+}
+
+// ParsePools reads a list such as "orders=9,spare=8".
+func ParsePools(text string) ([]PoolSize, error) {
+	var pools []PoolSize
+	for _, part := range strings.Split(text, ",") {
+		name, number, _ := strings.Cut(part, "=")
+		workers, err := strconv.Atoi(number)
+		if err != nil || workers < 1 || !settings.ValidName(name) {
+			return nil, fmt.Errorf("%q is not of the form pool=workers with at least 1 worker", part)
+		}
+		pools = append(pools, PoolSize{Name: name, Workers: workers})
+	}
+	return pools, nil
+}
+
+// BuildWorkers returns the workers of a fleet, named w001, w002 and so on. The
+// racks, named r01 and so on, are spread over the zones (az1, az2, ...) in turn,
+// and the workers of each pool are dealt to the racks in turn.
+func BuildWorkers(spec FleetSpec) []platform.Worker {
+	total := 0
+	for _, pool := range spec.Pools {
+		total += pool.Workers
+	}
+	racks := (total + spec.RackSize - 1) / spec.RackSize
+	workers := make([]platform.Worker, 0, total)
+	for _, pool := range spec.Pools {
+		for range pool.Workers {
+			workers = append(workers, buildWorker(spec, pool.Name, len(workers), racks))
+		}
+	}
+	return workers
+}
+
+func buildWorker(spec FleetSpec, pool string, number, racks int) platform.Worker {
+	rack := number % racks
+	worker := platform.Worker{
+		ID:               target.WorkerID(number),
+		AvailabilityZone: fmt.Sprintf("az%d", rack%spec.Zones+1),
+		Rack:             fmt.Sprintf("r%02d", rack+1),
+		Pool:             pool,
+		Cores:            spec.Cores,
+		MemoryMB:         spec.MemoryMB,
+		Accelerators:     spec.Accelerators,
+		Status:           platform.WorkerLive,
+		BootID:           1,
+	}
+	if spec.FirstPort > 0 {
+		worker.Address = net.JoinHostPort(spec.TargetHost, strconv.Itoa(spec.FirstPort+number))
+	}
+	return worker
+}
--- /dev/null
+++ b/standin/platform/requests.go
@@ -0,0 +1,206 @@
+package platform
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/platform/httpapi"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+type requestKind uint8
+
+const (
+	requestList requestKind = iota
+	requestGet
+	requestDrain
+	requestUndrain
+	requestReboot
+	requestAssign
+	requestStart
+	requestTasks
+	requestRenew
+	requestControl
+)
+
+var requestNames = [...]string{
+	"list-workers", "get-worker", "drain", "undrain", "reboot", "assign",
+	"start-task", "list-tasks", "renew-tasks", "control-task",
+}
+
+// request is one call of the platform interface.
+type request struct {
+	kind   requestKind
+	worker httpapi.WorkerRequest
+	spec   platform.TaskSpec
+	renew  httpapi.RenewRequest
+	task   httpapi.TaskRequest
+	answer chan response // holds one response, so the loop never waits for the caller
+}
+
+type response struct {
+	workers []platform.Worker
+	tasks   []platform.Task
+	err     error
+}
+
+func (r *request) apply(s *state, tick engine.Tick) {
+	s.calls[requestNames[r.kind]]++
+	s.arrivals++
+	due := tick.Now.Add(time.Duration(s.faults.PlatformSlowMS) * time.Millisecond)
+	s.requests.Insert(requestRow{request: r, due: due, arrival: s.arrivals})
+}
+
+func (s *state) answer(r *request, answer response) {
+	s.answers.Add(answerRow{request: r, response: answer})
+}
+
+func (s *state) execute(now time.Time, r *request) {
+	switch r.kind {
+	case requestList:
+		s.answer(r, response{workers: s.published})
+	case requestGet:
+		s.executeGet(r)
+	case requestTasks:
+		s.answer(r, response{tasks: s.listTasks()})
+	case requestRenew:
+		s.renewTasks(now, r.renew)
+		s.answer(r, response{})
+	case requestControl:
+		s.answer(r, response{err: s.controlTask(now, r.task)})
+	case requestStart:
+		s.once(now, r, r.spec.Operation, r.spec.Worker)
+	default:
+		s.once(now, r, r.worker.Operation, r.worker.Worker)
+	}
+}
+
+func (s *state) executeGet(r *request) {
+	id, row := s.worker(r.worker.Worker)
+	if row == nil {
+		s.answer(r, response{err: notFound("worker", r.worker.Worker)})
+		return
+	}
+	s.answer(r, response{workers: []platform.Worker{s.view(id, row)}})
+}
+
+func notFound(kind, name string) error {
+	return fmt.Errorf("%w: %s %q", platform.ErrNotFound, kind, name)
+}
+
+func rejected(format string, values ...any) error {
+	return fmt.Errorf("%w: %s", platform.ErrRejected, fmt.Sprintf(format, values...))
+}
+
+// once executes a mutating call unless its operation ID was seen before; then it
+// repeats the answer. A call that the target must confirm is answered later.
+func (s *state) once(now time.Time, r *request, operation, worker string) {
+	if operation == "" {
+		s.answer(r, response{err: rejected("no operation ID")})
+		return
+	}
+	key := operationKey{kind: r.kind, id: operation}
+	if id, known := s.operationIDs.Get(key); known {
+		s.repeat(s.operations.Get(id), r)
+		return
+	}
+	workerID, row := s.worker(worker)
+	if row == nil {
+		s.answer(r, response{err: notFound("worker", worker)})
+		return
+	}
+	id := s.operations.Insert(operationRow{key: key, worker: workerID, at: now, waiting: []*request{r}})
+	s.operationIDs.Put(key, id)
+	if confirmed, err := s.change(now, r, id, workerID, row); confirmed || err != nil {
+		s.complete(id, err)
+	}
+}
+
+func (s *state) repeat(operation *operationRow, r *request) {
+	if operation.done {
+		s.answer(r, response{err: operation.err})
+		return
+	}
+	operation.waiting = append(operation.waiting, r)
+}
+
+// complete answers everyone who waits for the operation.
+func (s *state) complete(id table.ID, err error) {
+	operation := s.operations.Get(id)
+	if operation == nil {
+		return
+	}
+	operation.done, operation.err = true, err
+	for _, r := range operation.waiting {
+		s.answer(r, response{err: err})
+	}
+	operation.waiting = nil
+	if row := s.workers.Get(operation.worker); row != nil && err == nil && operation.key.kind != requestStart {
+		row.Operation = operation.key.id
+	}
+}
+
+// change makes the change of a call. It reports true if the change is complete,
+// false if the target has yet to confirm it.
+func (s *state) change(now time.Time, r *request, operation, id table.ID, row *workerRow) (bool, error) {
+	switch r.kind {
+	case requestDrain:
+		return s.drain(operation, id, row)
+	case requestUndrain:
+		return s.undrain(operation, id, row)
+	case requestReboot:
+		return true, s.reboot(now, id, row)
+	case requestAssign:
+		if row.Status != platform.WorkerDraining {
+			return true, rejected("worker %s is %s, not draining", row.ID, row.Status)
+		}
+		row.Pool = r.worker.Pool
+		return true, nil
+	default:
+		return true, s.startTask(now, r.spec, id, row)
+	}
+}
+
+func (s *state) drain(operation, id table.ID, row *workerRow) (bool, error) {
+	switch row.Status {
+	case platform.WorkerDown, platform.WorkerRebooting:
+		return true, rejected("worker %s is %s", row.ID, row.Status)
+	case platform.WorkerLive:
+		s.command(id, command{kind: commandDraining, value: true, operation: operation, then: platform.WorkerDraining})
+		return false, nil
+	default: // refuses new work already
+		return true, nil
+	}
+}
+
+func (s *state) undrain(operation, id table.ID, row *workerRow) (bool, error) {
+	switch row.Status {
+	case platform.WorkerLive, platform.WorkerDraining:
+		// Also sent to a live worker, whose drain may still be on its way.
+		s.command(id, command{kind: commandDraining, value: false, operation: operation, then: platform.WorkerLive})
+		return false, nil
+	default:
+		return true, rejected("worker %s is %s", row.ID, row.Status)
+	}
+}
+
+func (s *state) reboot(now time.Time, id table.ID, row *workerRow) error {
+	if row.Status != platform.WorkerDraining {
+		return rejected("worker %s is %s, not draining", row.ID, row.Status)
+	}
+	row.Status = platform.WorkerRebooting
+	row.due = now.Add(s.options.RebootTime)
+	s.command(id, command{kind: commandDown, value: true})
+	s.endTasks(now, id, "worker rebooted")
+	return nil
+}
+
+func (s *state) endTasks(now time.Time, worker table.ID, reason string) {
+	for _, task := range s.tasks.All() {
+		if task.worker == worker && task.active() {
+			task.end(now, platform.TaskFailed, reason)
+		}
+	}
+}
--- /dev/null
+++ b/standin/platform/state.go
@@ -0,0 +1,201 @@
+package platform
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+const (
+	idleWatts   = 120
+	rebootWatts = 350 // inrush of a reboot
+)
+
+type workerRow struct {
+	platform.Worker
+	// due is the end of a reboot, or the moment at which a leaving worker goes.
+	due      time.Time
+	gone     bool      // removed once its commands are done
+	commands []command // in the order in which the target receives them
+	busy     bool      // the first command is being performed
+}
+
+// command is a message to the target of a worker.
+type command struct {
+	kind      commandKind
+	value     bool
+	operation table.ID // answered when the command is done; zero means none
+	then      platform.WorkerStatus
+	boots     bool // the worker has restarted when the command is done
+}
+
+type commandKind uint8
+
+const (
+	commandDraining commandKind = iota
+	commandDown
+)
+
+type commandRow struct {
+	worker table.ID
+	name   string
+	command
+}
+
+type taskRow struct {
+	platform.Task
+	behaviour
+	worker   table.ID
+	progress time.Duration // of behaviour.run, until since
+	since    time.Time
+	lease    time.Time // moment at which the lease lapses
+	ended    time.Time
+}
+
+func (t *taskRow) active() bool {
+	return t.Status == platform.TaskRunning || t.Status == platform.TaskThrottled
+}
+
+// settle adds the work done since the last change of speed.
+func (t *taskRow) settle(now time.Time) {
+	elapsed := now.Sub(t.since)
+	if t.Status == platform.TaskThrottled {
+		elapsed /= throttledSpeedFactor
+	}
+	t.progress += elapsed
+	t.since = now
+}
+
+// finish returns the moment at which the task ends, or the zero time.
+func (t *taskRow) finish() time.Time {
+	if t.hangs {
+		return time.Time{}
+	}
+	left := t.run - t.progress
+	if t.Status == platform.TaskThrottled {
+		left *= throttledSpeedFactor
+	}
+	return t.since.Add(left)
+}
+
+func (t *taskRow) end(now time.Time, status platform.TaskStatus, reason string) {
+	t.settle(now)
+	t.Status, t.Error, t.ended = status, reason, now
+	t.UsedMilliCores, t.UsedMemoryMB, t.PowerWatts = 0, 0, 0
+}
+
+// operationKey identifies a call: an operation of the fleet makes several calls
+// of different kinds under one ID.
+type operationKey struct {
+	kind requestKind
+	id   string
+}
+
+type operationRow struct {
+	key     operationKey
+	worker  table.ID
+	at      time.Time
+	done    bool
+	err     error
+	waiting []*request
+}
+
+type requestRow struct {
+	request *request
+	due     time.Time
+	arrival uint64
+}
+
+type answerRow struct {
+	request  *request
+	response response
+}
+
+type state struct {
+	options Options
+	faults  Faults
+
+	workers      table.Table[workerRow]
+	workerIDs    table.Index[string]
+	tasks        table.Table[taskRow]
+	taskIDs      table.Index[string] // by operation
+	operations   table.Table[operationRow]
+	operationIDs table.Index[operationKey]
+	requests     table.Table[requestRow]
+	arrivals     uint64
+	checkpoints  map[string]time.Duration // progress by job
+	starts       map[string]int           // executions by job
+	calls        map[string]int64
+	published    []platform.Worker
+	publishAt    time.Time
+	sampleAt     time.Time
+
+	answers  table.Outbound[answerRow]
+	outgoing table.Outbound[commandRow]
+	signals  table.Outbound[chan struct{}]
+}
+
+func newState(options Options) *state {
+	s := &state{
+		options:     options,
+		checkpoints: make(map[string]time.Duration),
+		starts:      make(map[string]int),
+		calls:       make(map[string]int64),
+	}
+	for _, worker := range options.Workers {
+		s.addWorker(worker)
+	}
+	return s
+}
+
+func (s *state) addWorker(worker platform.Worker) {
+	if _, exists := s.workerIDs.Get(worker.ID); exists {
+		return
+	}
+	if worker.Status == "" {
+		worker.Status = platform.WorkerLive
+	}
+	s.workerIDs.Put(worker.ID, s.workers.Insert(workerRow{Worker: worker}))
+}
+
+func (s *state) worker(name string) (table.ID, *workerRow) {
+	id, ok := s.workerIDs.Get(name)
+	if !ok {
+		return 0, nil
+	}
+	return id, s.workers.Get(id)
+}
+
+func (s *state) command(id table.ID, c command) {
+	row := s.workers.Get(id)
+	row.commands = append(row.commands, c)
+}
+
+// view returns the current state of a worker.
+func (s *state) view(id table.ID, row *workerRow) platform.Worker {
+	worker := row.Worker
+	worker.Tasks, worker.PowerWatts = 0, 0
+	switch row.Status {
+	case platform.WorkerDown:
+		return worker
+	case platform.WorkerRebooting:
+		worker.PowerWatts = rebootWatts
+	default:
+		worker.PowerWatts = idleWatts
+	}
+	for _, task := range s.tasks.All() {
+		if task.worker == id && task.active() {
+			worker.Tasks++
+			worker.PowerWatts += task.draw()
+		}
+	}
+	return worker
+}
+
+func (t *taskRow) draw() int {
+	if t.Status == platform.TaskThrottled {
+		return t.watts / throttledSpeedFactor
+	}
+	return t.watts
+}
--- /dev/null
+++ b/standin/platform/systems.go
@@ -0,0 +1,184 @@
+package platform
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// systems lists the systems of the platform in the order in which they run.
+// Tasks finish before leases lapse, and both before requests, so that a renewal
+// that arrives too late does not revive a task.
+func systems() []engine.System[state] {
+	return []engine.System[state]{
+		{Name: "finish tasks", Run: finishTasks},
+		{Name: "expire task leases", Run: expireTaskLeases},
+		{Name: "advance reboots", Run: advanceReboots},
+		{Name: "execute requests", Run: executeRequests},
+		{Name: "start commands", Run: startCommands},
+		{Name: "sample usage", Run: sampleUsage},
+		{Name: "forget ended tasks and operations", Run: forget},
+		{Name: "publish list", Run: publishList},
+	}
+}
+
+func finishTasks(s *state, tick engine.Tick) {
+	for _, task := range s.tasks.All() {
+		if !s.runs(task) {
+			continue
+		}
+		if at := task.finish(); at.IsZero() || tick.Now.Before(at) {
+			continue
+		}
+		if task.fails {
+			task.end(tick.Now, platform.TaskFailed, "task failed")
+		} else {
+			task.end(tick.Now, platform.TaskDone, "")
+		}
+	}
+}
+
+// runs reports whether the task makes progress; it does not on a dead worker.
+func (s *state) runs(task *taskRow) bool {
+	worker := s.workers.Get(task.worker)
+	return task.active() && worker != nil && worker.Status != platform.WorkerDown
+}
+
+func expireTaskLeases(s *state, tick engine.Tick) {
+	for _, task := range s.tasks.All() {
+		if task.active() && !tick.Now.Before(task.lease) {
+			task.end(tick.Now, platform.TaskLeaseLapsed, "lease lapsed")
+		}
+	}
+}
+
+// advanceReboots brings rebooted workers back and takes leaving ones away.
+func advanceReboots(s *state, tick engine.Tick) {
+	for id, row := range s.workers.All() {
+		if !s.waits(row) || tick.Now.Before(row.due) {
+			continue
+		}
+		row.due = time.Time{}
+		if row.Status == platform.WorkerRebooting {
+			s.command(id, command{kind: commandDown, value: false, then: platform.WorkerDraining, boots: true})
+			continue
+		}
+		row.Status, row.gone = platform.WorkerDown, true
+		s.command(id, command{kind: commandDown, value: true})
+	}
+}
+
+func (s *state) waits(row *workerRow) bool {
+	hangs := s.faults.RebootHangs && row.Status == platform.WorkerRebooting
+	return !row.due.IsZero() && !hangs
+}
+
+func executeRequests(s *state, tick engine.Tick) {
+	var due []table.ID
+	for id, row := range s.requests.All() {
+		if !tick.Now.Before(row.due) {
+			due = append(due, id)
+		}
+	}
+	slices.SortFunc(due, func(a, b table.ID) int {
+		return cmp.Compare(s.requests.Get(a).arrival, s.requests.Get(b).arrival)
+	})
+	for _, id := range due {
+		r := s.requests.Get(id).request
+		s.requests.Delete(id)
+		s.execute(tick.Now, r)
+	}
+}
+
+// startCommands hands the oldest command of each worker to I/O, one at a time,
+// so that the target receives them in order.
+func startCommands(s *state, _ engine.Tick) {
+	for id, row := range s.workers.All() {
+		if row.busy {
+			continue
+		}
+		if len(row.commands) > 0 {
+			row.busy = true
+			s.outgoing.Add(commandRow{worker: id, name: row.ID, command: row.commands[0]})
+		} else if row.gone {
+			s.workerIDs.Delete(row.ID)
+			s.workers.Delete(id)
+		}
+	}
+}
+
+func sampleUsage(s *state, tick engine.Tick) {
+	if tick.Now.Before(s.sampleAt) {
+		return
+	}
+	s.sampleAt = tick.Now.Add(s.options.UsageLag)
+	for _, task := range s.tasks.All() {
+		if task.active() {
+			task.UsedMilliCores, task.UsedMemoryMB, task.PowerWatts = task.milliCores, task.memoryMB, task.draw()
+		}
+	}
+}
+
+func forget(s *state, tick engine.Tick) {
+	oldest := tick.Now.Add(-s.options.Retention)
+	for id, task := range s.tasks.All() {
+		if !task.ended.IsZero() && task.ended.Before(oldest) {
+			s.taskIDs.Delete(task.Operation)
+			s.tasks.Delete(id)
+		}
+	}
+	for id, operation := range s.operations.All() {
+		if operation.done && operation.at.Before(oldest) {
+			s.operationIDs.Delete(operation.key)
+			s.operations.Delete(id)
+		}
+	}
+}
+
+func publishList(s *state, tick engine.Tick) {
+	if tick.Now.Before(s.publishAt) {
+		return
+	}
+	s.publishAt = tick.Now.Add(s.options.ListLag)
+	if s.faults.ListFrozen {
+		return
+	}
+	published := make([]platform.Worker, 0, s.workers.Len())
+	for id, row := range s.workers.All() {
+		published = append(published, s.view(id, row))
+	}
+	slices.SortFunc(published, func(a, b platform.Worker) int { return strings.Compare(a.ID, b.ID) })
+	s.published = published // a new slice each time, so that answers may keep the old one
+}
+
+func nextDeadline(s *state) time.Time {
+	next := s.publishAt
+	earliest := func(at time.Time) {
+		if !at.IsZero() && at.Before(next) {
+			next = at
+		}
+	}
+	for _, row := range s.requests.All() {
+		earliest(row.due)
+	}
+	for _, row := range s.workers.All() {
+		if s.waits(row) {
+			earliest(row.due)
+		}
+	}
+	for _, task := range s.tasks.All() {
+		if task.active() {
+			earliest(task.lease)
+			earliest(s.sampleAt)
+		}
+		if s.runs(task) {
+			earliest(task.finish())
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/standin/platform/tasks.go
@@ -0,0 +1,100 @@
+package platform
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/platform/httpapi"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+func (s *state) startTask(now time.Time, spec platform.TaskSpec, id table.ID, row *workerRow) error {
+	if row.Status != platform.WorkerLive {
+		return rejected("worker %s is %s", row.ID, row.Status)
+	}
+	if spec.Lease <= 0 {
+		return rejected("lease of %v", spec.Lease)
+	}
+	behaviour, err := parsePayload(spec.Payload, spec.MilliCores, spec.MemoryMB)
+	if err != nil {
+		return rejected("%v", err)
+	}
+	task := taskRow{
+		Task: platform.Task{
+			Operation: spec.Operation, Job: spec.Job, Worker: spec.Worker, Status: platform.TaskRunning,
+		},
+		behaviour: behaviour, worker: id, since: now, lease: now.Add(spec.Lease),
+	}
+	if spec.Resume {
+		task.progress = s.checkpoints[spec.Job]
+	}
+	s.starts[spec.Job]++
+	if slices.Contains(s.faults.FailingWorkers, row.ID) {
+		task.end(now, platform.TaskFailed, "worker cannot run tasks")
+	}
+	s.taskIDs.Put(spec.Operation, s.tasks.Insert(task))
+	return nil
+}
+
+func (s *state) task(operation string) *taskRow {
+	id, ok := s.taskIDs.Get(operation)
+	if !ok {
+		return nil
+	}
+	return s.tasks.Get(id)
+}
+
+func (s *state) listTasks() []platform.Task {
+	tasks := make([]platform.Task, 0, s.tasks.Len())
+	for _, row := range s.tasks.All() {
+		tasks = append(tasks, row.Task)
+	}
+	slices.SortFunc(tasks, func(a, b platform.Task) int { return strings.Compare(a.Operation, b.Operation) })
+	return tasks
+}
+
+// renewTasks extends leases. The lease of a task on a worker that is down cannot
+// be renewed, so it lapses.
+func (s *state) renewTasks(now time.Time, renew httpapi.RenewRequest) {
+	for _, operation := range renew.Operations {
+		task := s.task(operation)
+		if task == nil || !task.active() {
+			continue
+		}
+		if worker := s.workers.Get(task.worker); worker == nil || worker.Status == platform.WorkerDown {
+			continue
+		}
+		task.lease = now.Add(renew.Lease)
+	}
+}
+
+// controlTask changes a task. Each action is idempotent; one that comes after
+// the end of the task changes nothing.
+func (s *state) controlTask(now time.Time, change httpapi.TaskRequest) error {
+	task := s.task(change.Operation)
+	if task == nil {
+		return notFound("task", change.Operation)
+	}
+	if !task.active() {
+		return nil
+	}
+	switch change.Action {
+	case httpapi.ActionCheckpoint:
+		task.settle(now)
+		s.checkpoints[task.Job] = task.progress
+		task.end(now, platform.TaskCheckpointed, "")
+	case httpapi.ActionThrottle:
+		task.settle(now)
+		task.Status = platform.TaskThrottled
+	case httpapi.ActionUnthrottle:
+		task.settle(now)
+		task.Status = platform.TaskRunning
+	case httpapi.ActionStop:
+		task.end(now, platform.TaskStopped, "")
+	default:
+		return rejected("action %q", change.Action)
+	}
+	return nil
+}
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -42,6 +42,8 @@
 // Faults are the switches of a Store.
 type Faults struct {
 	// Down makes every call fail with store.ErrUnavailable and ends all watches.
+	// Leases do not expire meanwhile, and start anew with their full time to live
+	// afterwards, as they do when etcd elects a leader.
 	Down bool
 	// Slow delays the effect of each call. A write takes effect even if its
 	// caller has given up meanwhile.
@@ -314,8 +316,11 @@
 	done       chan struct{}
 }
 
-func (e controlEvent) apply(s *state, _ engine.Tick) {
+func (e controlEvent) apply(s *state, tick engine.Tick) {
 	if e.faults != nil {
+		if s.faults.Down && !e.faults.Down {
+			s.extendLeases(tick.Now)
+		}
 		s.faults = *e.faults
 	}
 	if e.cutWatches || s.faults.Down {
--- a/store/memory/state.go
+++ b/store/memory/state.go
@@ -172,6 +172,12 @@
 	s.leases.Delete(id)
 }
 
+func (s *state) extendLeases(now time.Time) {
+	for _, lease := range s.leases.All() {
+		lease.expires = now.Add(lease.ttl)
+	}
+}
+
 func (s *state) progressEvent() store.Event {
 	return store.Event{Progress: true, Value: store.Value{Revision: s.revision}}
 }
--- a/store/memory/systems.go
+++ b/store/memory/systems.go
@@ -16,6 +16,9 @@
 // ErrCompacted means that the history does not reach back to the revision.
 var ErrCompacted = errors.New("memory: revision has been compacted")
 
+// ErrRateLimited accompanies store.ErrUnavailable when a call exceeded the rate limit.
+var ErrRateLimited = errors.New("memory: too many requests")
+
 // systems lists the systems of the store in the order in which they run. Leases
 // expire first, so that a renewal that arrives too late does not revive one.
 func systems() []engine.System[state] {
@@ -33,6 +36,9 @@
 }
 
 func expireLeases(s *state, tick engine.Tick) {
+	if s.faults.Down {
+		return
+	}
 	for id, lease := range s.leases.All() {
 		if !tick.Now.Before(lease.expires) {
 			s.dropLease(id, lease.id)
@@ -62,7 +68,7 @@
 		return reply{err: fmt.Errorf("%w: down", store.ErrUnavailable)}
 	}
 	if !s.withinRate(now, c.kind) {
-		return reply{err: fmt.Errorf("%w: too many requests", store.ErrUnavailable)}
+		return reply{err: fmt.Errorf("%w: %w", store.ErrUnavailable, ErrRateLimited)}
 	}
 	answer := s.perform(now, c)
 	answer.revision = max(answer.revision, s.revision)
@@ -230,8 +236,10 @@
 	for _, row := range s.calls.All() {
 		earliest(row.due)
 	}
-	for _, row := range s.leases.All() {
-		earliest(row.expires)
+	if !s.faults.Down {
+		for _, row := range s.leases.All() {
+			earliest(row.expires)
+		}
 	}
 	for _, row := range s.watches.All() {
 		earliest(row.progress)
