--- a/controller/controller.go
+++ b/controller/controller.go
@@ -51,7 +51,7 @@
 	c := &Controller{process: process, stopped: make(chan struct{})}
 	c.published.Store(&published{ready: "starting"})
 	state := NewState(node.NewView(string(s.Site), process.Identity), membership.New(membership.Options{
-		Self: process.Identity.Member(), Seeds: seeds(s.Peers),
+		Self: process.Identity.Member(), Seeds: settings.Strings(s.Peers),
 		Documents: []membership.DocumentKind{membership.DocumentConfig, membership.DocumentFleet},
 	}))
 	c.loop = engine.NewLoop(engine.Program[State, Event]{
@@ -68,14 +68,6 @@
 	return c, nil
 }
 
-func seeds(addresses []settings.Address) []string {
-	seeds := make([]string, len(addresses))
-	for i, address := range addresses {
-		seeds[i] = string(address)
-	}
-	return seeds
-}
-
 // Start runs the controller until Stop.
 func (c *Controller) Start() error {
 	if err := c.exchange.Start(); err != nil {
--- a/controller/job_calls.go
+++ b/controller/job_calls.go
@@ -125,7 +125,7 @@
 		ID: job.ID, Tenant: job.Tenant, Pool: job.Pool, Class: jobClasses[job.Class], Family: job.Family,
 		Size:    placement.Resources{MilliCores: int(job.MilliCores), MemoryMB: int(job.MemoryMB), Accelerators: int(job.Accelerators)},
 		RunTime: job.RunTime, Idempotent: job.Idempotent, Payload: job.Payload, Priority: int(job.Priority),
-		AvailabilityZone: job.AvailabilityZone, SpreadRacks: job.SpreadRacks,
+		AvailabilityZone: job.AvailabilityZone, SpreadRacks: job.SpreadRacks, Checkpointable: job.Checkpointable,
 	}
 }
 
--- /dev/null
+++ b/gateway/control/credits.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/membership"
+	"github.com/waxwingbridge/waxwingbridge/routing"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// gatewayRow is a live gateway in the division of slots. The zero peer is this one.
+type gatewayRow struct {
+	incarnation string
+	peer        table.ID
+}
+
+// gateways lists the live gateways with this one, ordered by incarnation so that
+// all gateways that know the same peers divide alike.
+func (s *State) gateways() []gatewayRow {
+	rows := []gatewayRow{{incarnation: s.View.Self.Incarnation}}
+	for id, peer := range s.Peers.Peers.All() {
+		if peer.Role == membership.Gateway && peer.Heard && !peer.Suspected && !peer.Replaced {
+			rows = append(rows, gatewayRow{peer.Incarnation, id})
+		}
+	}
+	slices.SortFunc(rows, func(a, b gatewayRow) int { return cmp.Compare(a.incarnation, b.incarnation) })
+	return rows
+}
+
+// reportDemand tells peers how many requests wait and run here.
+func reportDemand(s *State, _ engine.Tick) {
+	for pool, requests := range s.demand {
+		s.Peers.SetDemand(pool, uint32(max(0, requests))) //nolint:gosec // bounded by the queue limits
+		if requests == 0 {
+			delete(s.demand, pool)
+		}
+	}
+}
+
+// grantSlots divides the slots of the targets for which this gateway is the
+// granting one. Unequal views of the peers may grant a slot twice, which costs
+// a refusal by the target.
+func grantSlots(s *State, tick engine.Tick) {
+	if s.View.Fleet == nil || s.View.Policy == nil || tick.Now.Sub(s.creditsAt) < creditInterval {
+		return
+	}
+	s.creditsAt = tick.Now
+	s.grantVersion++
+	gateways := s.gateways()
+	demand := make(map[string][]int)
+	for i := range s.View.Fleet.Workers {
+		worker := &s.View.Fleet.Workers[i]
+		slots := 0
+		if pool, ok := s.View.Policy.Pool(worker.Pool); ok && s.target(worker.ID).usable && s.grants(gateways, worker.ID) {
+			slots = pool.SlotsPerTarget
+		}
+		if demand[worker.Pool] == nil {
+			demand[worker.Pool] = s.poolDemand(gateways, worker.Pool)
+		}
+		s.setGrants(gateways, worker.ID, routing.GrantSlots(slots, demand[worker.Pool], int(xxhash.Sum64String(worker.ID)%uint64(len(gateways))))) //nolint:gosec // below the number of gateways
+	}
+}
+
+// grants reports whether rendezvous hashing makes this gateway the granting one
+// of the worker.
+func (s *State) grants(gateways []gatewayRow, worker string) bool {
+	var best gatewayRow
+	var bestScore uint64
+	for _, gateway := range gateways {
+		if score := xxhash.Sum64String(gateway.incarnation + "\x00" + worker); score >= bestScore {
+			best, bestScore = gateway, score
+		}
+	}
+	return best.peer == 0
+}
+
+// poolDemand returns the demand of each gateway for the pool.
+func (s *State) poolDemand(gateways []gatewayRow, pool string) []int {
+	demand := make([]int, len(gateways))
+	for row := range s.Peers.Demand.Named(pool) {
+		if i := slices.IndexFunc(gateways, func(g gatewayRow) bool { return g.peer == row.Peer }); i >= 0 {
+			demand[i] = int(row.Value)
+		}
+	}
+	for i, gateway := range gateways {
+		if gateway.peer == 0 {
+			demand[i] = s.demand[pool]
+		}
+	}
+	return demand
+}
+
+func (s *State) setGrants(gateways []gatewayRow, worker string, grants []int) {
+	for i, gateway := range gateways {
+		switch {
+		case gateway.peer != 0:
+			s.Peers.SetGrant(gateway.peer, worker, uint32(grants[i])) //nolint:gosec // at most the slots of a target
+		case grants[i] == 0:
+			delete(s.ownCredits, worker)
+		default:
+			s.ownCredits[worker] = grants[i]
+		}
+	}
+}
--- /dev/null
+++ b/gateway/job_api.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/waxwingbridge/waxwingbridge/node"
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/peerapi"
+)
+
+const (
+	maxJobBytes  = 64 << 10
+	jobTimeout   = 8 * time.Second // above the time that a submission waits for its page
+	maxRedirects = 2
+)
+
+// JobRequest is the JSON body of POST /v1/jobs.
+type JobRequest struct {
+	ID               string `json:"id"` // empty lets the gateway choose one
+	Pool             string `json:"pool"`
+	Class            string `json:"class"` // urgent, quick or long; default long
+	Family           string `json:"family"`
+	MilliCores       uint32 `json:"milli_cores"`
+	MemoryMB         uint32 `json:"memory_mb"`
+	Accelerators     uint32 `json:"accelerators"`
+	RunTimeMS        int64  `json:"run_time_ms"`
+	Idempotent       bool   `json:"idempotent"`
+	Checkpointable   bool   `json:"checkpointable"`
+	Payload          string `json:"payload"`
+	Priority         int32  `json:"priority"`
+	AvailabilityZone string `json:"availability_zone"`
+	SpreadRacks      bool   `json:"spread_racks"`
+}
+
+// JobBody is the JSON body of every answer about a job.
+type JobBody struct {
+	ID       string `json:"id"`
+	Outcome  string `json:"outcome"`
+	Reason   string `json:"reason,omitempty"`
+	State    string `json:"state,omitempty"`
+	Detail   string `json:"detail,omitempty"`
+	Worker   string `json:"worker,omitempty"`
+	Attempts uint32 `json:"attempts"`
+}
+
+func (g *Gateway) jobHandler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.Use(gin.Recovery())
+	router.POST("/v1/jobs", g.submitJob)
+	router.GET("/v1/jobs/:id", g.jobByID(g.exchange.GetJob))
+	router.DELETE("/v1/jobs/:id", g.jobByID(g.exchange.CancelJob))
+	return router
+}
+
+func (g *Gateway) submitJob(c *gin.Context) {
+	tenant, ok := jobTenant(c)
+	if !ok {
+		return
+	}
+	request, err := readJob(c)
+	if err == nil {
+		err = request.check()
+	}
+	if err != nil {
+		refuseJob(c, http.StatusBadRequest, outcome.ReasonBadRequest, err.Error())
+		return
+	}
+	job := request.submission(tenant)
+	if job.ID == "" {
+		job.ID = node.NewIncarnation()
+	}
+	g.callJob(c, job.ID, func(ctx context.Context, address string) peerapi.JobAnswer {
+		return g.exchange.SubmitJob(ctx, address, job)
+	})
+}
+
+func readJob(c *gin.Context) (*JobRequest, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxJobBytes))
+	if err != nil {
+		return nil, fmt.Errorf("body: must be at most %d bytes", maxJobBytes)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	request := &JobRequest{Class: "long"}
+	if err := decoder.Decode(request); err != nil {
+		return nil, fmt.Errorf("body: %w", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, fmt.Errorf("body: data after the JSON value")
+	}
+	return request, nil
+}
+
+const (
+	maxMilliCores = 1_000_000
+	maxRunTimeMS  = 30 * 24 * 60 * 60 * 1000
+)
+
+// check reports the first field that is out of range; the controller checks the
+// rest against the pool.
+func (r *JobRequest) check() error {
+	switch {
+	case r.Class != "urgent" && r.Class != "quick" && r.Class != "long":
+		return fmt.Errorf("class: %q is unknown; accepted: urgent, quick, long", r.Class)
+	case r.Pool == "":
+		return fmt.Errorf("pool: must be set")
+	case r.MilliCores == 0 || r.MilliCores > maxMilliCores:
+		return fmt.Errorf("milli_cores: %d is not a number from 1 to %d", r.MilliCores, maxMilliCores)
+	case r.RunTimeMS < 0 || r.RunTimeMS > maxRunTimeMS:
+		return fmt.Errorf("run_time_ms: %d is not a number from 0 to %d", r.RunTimeMS, maxRunTimeMS)
+	default:
+		return nil
+	}
+}
+
+func (r *JobRequest) submission(tenant string) peerapi.JobSubmission {
+	return peerapi.JobSubmission{
+		ID: r.ID, Tenant: tenant, Pool: r.Pool, Class: r.Class, Family: r.Family, MilliCores: r.MilliCores, MemoryMB: r.MemoryMB,
+		Accelerators: r.Accelerators, RunTime: time.Duration(r.RunTimeMS) * time.Millisecond, Idempotent: r.Idempotent,
+		Checkpointable: r.Checkpointable, Payload: r.Payload, Priority: r.Priority, AvailabilityZone: r.AvailabilityZone,
+		SpreadRacks: r.SpreadRacks,
+	}
+}
+
+func jobTenant(c *gin.Context) (string, bool) {
+	tenant := strings.TrimSpace(c.GetHeader("Waxwing-Tenant"))
+	if tenant == "" {
+		refuseJob(c, http.StatusBadRequest, outcome.ReasonBadRequest, "header Waxwing-Tenant must be set")
+		return "", false
+	}
+	return tenant, true
+}
+
+func (g *Gateway) jobByID(call func(context.Context, string, peerapi.JobReference) peerapi.JobAnswer) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		tenant, ok := jobTenant(c)
+		if !ok {
+			return
+		}
+		reference := peerapi.JobReference{ID: c.Param("id"), Tenant: tenant}
+		g.callJob(c, reference.ID, func(ctx context.Context, address string) peerapi.JobAnswer {
+			return call(ctx, address, reference)
+		})
+	}
+}
+
+// callJob calls the active controller and follows a redirect to another one. A
+// call that was not run may be repeated there.
+func (g *Gateway) callJob(c *gin.Context, id string, call func(context.Context, string) peerapi.JobAnswer) {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), jobTimeout)
+	defer cancel()
+	address := g.published.Load().activeController
+	answer := peerapi.JobAnswer{ID: id, Outcome: outcome.NotRunBecause(outcome.ReasonNoController)}
+	for range maxRedirects {
+		if address == "" {
+			break
+		}
+		answer = call(ctx, address)
+		if answer.Outcome.Kind != outcome.NotRun || answer.ActiveController == "" || answer.ActiveController == address {
+			break
+		}
+		address = answer.ActiveController
+	}
+	c.JSON(jobStatus(answer.Outcome), JobBody{
+		ID: id, Outcome: answer.Outcome.Kind.String(), Reason: string(answer.Outcome.Reason), State: answer.State,
+		Detail: answer.Detail, Worker: answer.Worker, Attempts: answer.Attempts,
+	})
+}
+
+func jobStatus(result outcome.Outcome) int {
+	switch {
+	case result.Kind == outcome.Completed:
+		return http.StatusOK
+	case result.Kind == outcome.Unknown:
+		return http.StatusBadGateway
+	case result.Reason == "not-found":
+		return http.StatusNotFound
+	case result.Reason == outcome.ReasonQuota:
+		return http.StatusTooManyRequests
+	case result.Reason == outcome.ReasonNoController || result.Reason == outcome.ReasonNotDurable || result.Reason == outcome.ReasonUnreachable:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusUnprocessableEntity
+	}
+}
+
+func refuseJob(c *gin.Context, status int, reason outcome.Reason, detail string) {
+	c.JSON(status, JobBody{Outcome: outcome.NotRun.String(), Reason: string(reason), Detail: detail})
+}
--- /dev/null
+++ b/gateway/keyed.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/waxwingbridge/waxwingbridge/exchange"
+	"github.com/waxwingbridge/waxwingbridge/gateway/traffic"
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/peerapi"
+	"github.com/waxwingbridge/waxwingbridge/routing"
+)
+
+// keyForwarder hands keyed requests to their homes over the peer exchange.
+type keyForwarder struct{ exchange *exchange.Exchange }
+
+// ExecuteKeyed implements KeyForwarder. The peer exchange tells itself whether
+// anything was sent, so that the outcome is always set and the error always nil.
+func (f keyForwarder) ExecuteKeyed(ctx context.Context, address string, submission *traffic.Submission) (traffic.Result, error) {
+	response := f.exchange.ExecuteKeyed(ctx, address, peerapi.KeyedRequest{
+		Key: submission.Key, Tenant: submission.Tenant, Class: submission.Class.String(), Pool: submission.Pool,
+		Method: submission.Message.Method, Path: submission.Message.Path, Headers: toPeerHeaders(submission.Message.Headers),
+		Body: submission.Message.Body, Timeout: submission.Timeout, Idempotent: submission.Idempotent,
+	})
+	result := traffic.Result{Outcome: response.Outcome, Replayed: response.Replayed}
+	if response.Outcome.Kind == outcome.Completed {
+		result.Answer = &traffic.Answer{Status: response.Status, Headers: fromPeerHeaders(response.Headers), Body: response.Body}
+	}
+	return result, nil
+}
+
+// keyedHandler serves the requests that other gateways forward.
+type keyedHandler struct{ gateway *Gateway }
+
+// ExecuteKeyed implements exchange.KeyedHandler.
+func (h keyedHandler) ExecuteKeyed(ctx context.Context, request peerapi.KeyedRequest) peerapi.KeyedResponse {
+	class, ok := routing.ParseClass(request.Class)
+	if !ok {
+		return peerapi.KeyedResponse{Outcome: outcome.NotRunBecause(outcome.ReasonBadRequest)}
+	}
+	result := h.gateway.traffic.ExecuteKeyed(ctx, &traffic.Submission{
+		RequestID: h.gateway.traffic.requestID(), Pool: request.Pool, Tenant: request.Tenant, Class: class, Timeout: request.Timeout,
+		Idempotent: request.Idempotent, Key: request.Key,
+		Message: &traffic.Message{
+			Method: request.Method, Path: request.Path, Headers: fromPeerHeaders(request.Headers), Body: request.Body,
+		},
+	})
+	response := peerapi.KeyedResponse{Outcome: result.Outcome, Replayed: result.Replayed}
+	if result.Answer != nil {
+		response.Status, response.Body = result.Answer.Status, result.Answer.Body
+		response.Headers = toPeerHeaders(result.Answer.Headers)
+	}
+	return response
+}
+
+func toPeerHeaders(headers traffic.Headers) []peerapi.Header {
+	var flat []peerapi.Header
+	for name, values := range headers {
+		for _, value := range values {
+			flat = append(flat, peerapi.Header{Name: name, Value: value})
+		}
+	}
+	return flat
+}
+
+func fromPeerHeaders(flat []peerapi.Header) traffic.Headers {
+	headers := make(traffic.Headers, len(flat))
+	for _, header := range flat {
+		headers[header.Name] = append(headers[header.Name], header.Value)
+	}
+	return headers
+}
--- a/peerapi/calls.go
+++ b/peerapi/calls.go
@@ -82,7 +82,7 @@
 		Id: job.ID, Tenant: job.Tenant, Pool: job.Pool, Class: job.Class, Family: job.Family,
 		MilliCores: job.MilliCores, MemoryMb: job.MemoryMB, Accelerators: job.Accelerators,
 		RunTimeMs: uint64(max(0, job.RunTime.Milliseconds())), Idempotent: job.Idempotent, Payload: job.Payload,
-		Priority: job.Priority, AvailabilityZone: job.AvailabilityZone, SpreadRacks: job.SpreadRacks,
+		Priority: job.Priority, AvailabilityZone: job.AvailabilityZone, SpreadRacks: job.SpreadRacks, Checkpointable: job.Checkpointable,
 	}
 }
 
@@ -96,7 +96,7 @@
 		MilliCores: job.GetMilliCores(), MemoryMB: job.GetMemoryMb(), Accelerators: job.GetAccelerators(),
 		RunTime:    time.Duration(min(job.GetRunTimeMs(), maxRunTimeMS)) * time.Millisecond,
 		Idempotent: job.GetIdempotent(), Payload: job.GetPayload(), Priority: job.GetPriority(),
-		AvailabilityZone: job.GetAvailabilityZone(), SpreadRacks: job.GetSpreadRacks(),
+		AvailabilityZone: job.GetAvailabilityZone(), SpreadRacks: job.GetSpreadRacks(), Checkpointable: job.GetCheckpointable(),
 	}
 }
 
--- a/peerapi/messages.go
+++ b/peerapi/messages.go
@@ -57,6 +57,7 @@
 	Priority         int32
 	AvailabilityZone string // constraint; empty means any
 	SpreadRacks      bool
+	Checkpointable   bool // the task can be stopped and continued later
 }
 
 // JobReference names a job of a tenant.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -104,3 +104,29 @@
 
 // Level returns the log level.
 func (p *Process) Level() log.Level { return log.ParseLevel(p.LogLevel) }
+
+// Traffic shard range.
+const (
+	MinTrafficShards = 1
+	MaxTrafficShards = 64
+)
+
+// TrafficShards is the number of traffic goroutines of a gateway.
+type TrafficShards int
+
+// Validate reports a number outside of the range.
+func (n TrafficShards) Validate() error {
+	if n < MinTrafficShards || n > MaxTrafficShards {
+		return fmt.Errorf("%d is not a number from %d to %d", int(n), MinTrafficShards, MaxTrafficShards)
+	}
+	return nil
+}
+
+// Strings returns the addresses as text.
+func Strings(addresses []Address) []string {
+	texts := make([]string, len(addresses))
+	for i, address := range addresses {
+		texts[i] = string(address)
+	}
+	return texts
+}
