--- a/budget/budget.go
+++ b/budget/budget.go
@@ -152,6 +152,12 @@
 	return slack
 }
 
+// Full returns the slack that the pool has when all its workers serve.
+func (p *Pool) Full() int { return p.Size - Floor(p.policy, p.Size) }
+
+// Peak reports whether demand, and not the budget, limits the slack.
+func (p *Pool) Peak() bool { return p.Slack() < p.Count.Slack() }
+
 // ByTrough returns the names of the pools, those that demand leaves the largest
 // share of their workers idle first, then in the order of the configuration.
 // Pools with unknown demand come last.
@@ -224,14 +230,31 @@
 	}
 }
 
-// BorrowSize returns the least number of further spare workers that give the
-// pool slack for one disruption; those already on their way count as arrived.
-// It returns false if no number up to most is enough: a floor that is the whole
-// pool at any size cannot be lifted by spares.
-func (p *Pool) BorrowSize(most int) (int, bool) {
+// Structural reports that the pool, or the part of it in the zone, has no slack
+// even when all its workers serve. Only spares can give it slack.
+func (b *Book) Structural(pool, zone string) bool {
+	p := b.pools[pool]
+	if p == nil {
+		return false
+	}
+	inZone := p.Zones[zone]
+	return Floor(p.policy, p.Size) >= p.Size || ZoneFloor(p.policy, inZone.Size) >= inZone.Size
+}
+
+// BorrowSize returns the least number of further spare workers in the zone that
+// give the pool slack for one disruption there; those already on their way count
+// as arrived. It returns false if no number up to most is enough: a floor that
+// is the whole pool at any size cannot be lifted by spares.
+func (b *Book) BorrowSize(pool, zone string, most int) (int, bool) {
+	p := b.pools[pool]
+	if p == nil {
+		return 0, false
+	}
+	inZone := p.Zones[zone]
 	for borrowed := 0; borrowed <= most; borrowed++ {
-		arrived := p.Incoming + borrowed
-		if p.Serving+arrived > Floor(p.policy, p.Size+arrived) {
+		arrived, arrivedZone := p.Incoming+borrowed, inZone.Incoming+borrowed
+		if p.Serving+arrived > Floor(p.policy, p.Size+arrived) &&
+			inZone.Serving+arrivedZone > ZoneFloor(p.policy, inZone.Size+arrivedZone) {
 			return borrowed, true
 		}
 	}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -94,7 +94,7 @@
 	if got := book.CheckMove("spare", "a", "z1"); got != ShortageTarget {
 		t.Fatalf("move into a pool whose floor is its size = %q, want %q", got, ShortageTarget)
 	}
-	if _, ok := book.Pool("a").BorrowSize(8); ok {
+	if _, ok := book.BorrowSize("a", "z1", 8); ok {
 		t.Fatal("spares cannot lift a floor that is the whole pool")
 	}
 }
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -82,8 +82,12 @@
 	}
 	wave.Clean++
 	wave.Streak++
-	if wave.Streak >= wave.Width {
-		wave.Width = min(2*wave.Width, max(t.Workers.Len(), 1))
+	most := max(t.Workers.Len(), 1)
+	switch {
+	case wave.Width > wave.Canary && wave.BatchFailures == 0:
+		wave.Width = min(wave.Width+1, most)
+	case wave.Streak >= wave.Width: // the canary or the batch after a failure was clean
+		wave.Width = min(2*wave.Width, most)
 		wave.Streak, wave.BatchFailures = 0, 0
 	}
 }
--- a/fleet/document.go
+++ b/fleet/document.go
@@ -95,10 +95,14 @@
 	Failures  int        `json:"failures"`
 	Moves     int        `json:"moves"`
 	Clean     int        `json:"clean"` // maintained workers without a failure
-	// Width is the largest number of workers that the wave disrupts at once. It
-	// doubles after Width clean results in a row.
+	// Canary is the size of the first batch.
+	Canary int `json:"canary"`
+	// Width is the largest number of workers that the wave disrupts at once. After
+	// the canary it grows by one with each clean result, and so doubles in the
+	// time of one batch.
 	Width int `json:"width"`
-	// Streak counts the clean results since the last widening or failure.
+	// Streak counts the clean results since the last failure or since the wave
+	// widened beyond its canary.
 	Streak int `json:"streak"`
 	// BatchFailures counts the failures since the last full clean batch.
 	BatchFailures int           `json:"batch_failures"`
--- a/fleet/tables_test.go
+++ b/fleet/tables_test.go
@@ -11,7 +11,7 @@
 	return Load(&Document{Epoch: 3, Revision: 10, Borrowed: map[string]int{"a": 1}, Workers: []Worker{
 		{ID: "w1", Pool: "a", State: Serving, AvailabilityZone: "z1", Rack: "r1", BootID: 7, Since: epochStart},
 		{ID: "w2", Pool: "spare", State: Serving, AvailabilityZone: "z1", Rack: "r1", BootID: 3, Since: epochStart},
-	}, Wave: &Wave{ID: "wave1", Status: WaveRunning, Width: 1}})
+	}, Wave: &Wave{ID: "wave1", Status: WaveRunning, Width: 1, Canary: 1}})
 }
 
 // Guards against loss of operations, the wave or borrowed counts at a takeover.
--- /dev/null
+++ b/measure/account.go
@@ -0,0 +1,139 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/budget"
+	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/wave"
+)
+
+// Result is what one roll-out cost.
+type Result struct {
+	Finished bool
+	// Duration is the time from the start of the wave until the last worker is
+	// maintained and no operation is in progress.
+	Duration time.Duration
+	// BufferHours is the buffer cost in VM-hours: the integral over the duration
+	// of the number of workers that are kept out of use or unavailable for
+	// maintenance. At each moment these are
+	//   - the workers with an operation of the roll-out, from the intent to the
+	//     return to service, whatever the pool they belong to, and
+	//   - the spares that are dedicated to the roll-out until its end, unless one
+	//     serves at that moment in the place of such a worker.
+	// A borrowed spare counts while it moves, and not while it serves the pool
+	// that borrowed it. Workers that are down because of a fault do not count.
+	BufferHours float64
+	// ReserveHours is the duration times the spares reserved for the loss of the
+	// largest failure domain: shared by all pools for the planner under test,
+	// each pool's own for the baselines.
+	ReserveHours float64
+	Moves        int // operations whose only purpose is to change a worker's pool
+	Borrowed     int // slots that pools borrowed: spares that moved into a pool
+	// PoolChanges counts every change of a worker's pool, also that of a
+	// maintained worker that takes a spare's place while it is drained anyway.
+	PoolChanges int
+	// Violations counts planned starts after which a pool or a zone of it had
+	// fewer serving workers than its floor.
+	Violations int
+	// BelowFloor is the pool-time below the floor, which only faults cause.
+	BelowFloor time.Duration
+	Failures   int
+	Halts      int
+	CutOff     int // reboots with requests or tasks in flight
+}
+
+func (r *Result) add(other Result) {
+	r.Finished = r.Finished && other.Finished
+	r.Duration = max(r.Duration, other.Duration)
+	r.BufferHours += other.BufferHours
+	r.ReserveHours += other.ReserveHours
+	r.Moves += other.Moves
+	r.Borrowed += other.Borrowed
+	r.PoolChanges += other.PoolChanges
+	r.Violations += other.Violations
+	r.BelowFloor += other.BelowFloor
+	r.Failures += other.Failures
+	r.Halts += other.Halts
+	r.CutOff += other.CutOff
+}
+
+// count records a decision and checks the budget right after it. The check
+// counts from the document and does not use package budget's book.
+func (s *site) count(decision wave.Decision) {
+	if decision.Kind == wave.DecisionBorrow {
+		s.result.Moves++
+		s.result.Borrowed++
+	}
+	if decision.Worker == "" {
+		return
+	}
+	pool := decision.Pool
+	if !s.aboveFloor(pool) {
+		s.result.Violations++
+	}
+}
+
+// aboveFloor reports whether the pool and its zones have their floor of serving
+// workers. A dedicated spare serves in the place of a disrupted worker.
+func (s *site) aboveFloor(pool string) bool {
+	values, _ := s.effective.Pool(pool)
+	size, serving := map[string]int{}, map[string]int{}
+	all, allServing, disrupted := 0, 0, 0
+	for _, id := range s.tables.WorkersOfPool(pool) {
+		row := s.tables.Workers.Get(id)
+		size[row.AvailabilityZone]++
+		all++
+		if row.State == fleet.Serving && row.OperationID == 0 {
+			serving[row.AvailabilityZone]++
+			allServing++
+		} else if row.OperationID != 0 {
+			disrupted++
+		}
+	}
+	dedicated := s.strategy.spares(all)
+	if dedicated > 0 {
+		return allServing+min(dedicated, disrupted) >= budget.Floor(values, all)
+	}
+	for zone, count := range size {
+		if serving[zone] < budget.ZoneFloor(values, count) {
+			return false
+		}
+	}
+	return allServing >= budget.Floor(values, all)
+}
+
+// account adds one tick to the integrals.
+func (s *site) account() {
+	held, reserve := 0, 0
+	for _, spec := range s.effective.Pools() {
+		ids := s.tables.WorkersOfPool(spec.Name)
+		disrupted := 0
+		for _, id := range ids {
+			if s.tables.Workers.Get(id).OperationID != 0 {
+				disrupted++
+			}
+		}
+		held += max(disrupted, s.strategy.spares(len(ids)))
+		if !s.aboveFloor(spec.Name) {
+			s.result.BelowFloor += tickPeriod
+		}
+	}
+	if s.strategy.spares(1) == 0 {
+		reserve = s.reserve
+	} else {
+		reserve = s.reserveSeparately()
+	}
+	hours := tickPeriod.Hours()
+	s.result.BufferHours += float64(held) * hours
+	s.result.ReserveHours += float64(reserve) * hours
+}
+
+// reserveSeparately is the reserve of pools that share nothing.
+func (s *site) reserveSeparately() int {
+	if s.separate == nil {
+		required := budget.JointBuffer(s.tables, s.effective, s.demand.history()).RequiredSeparately
+		s.separate = &required
+	}
+	return *s.separate
+}
