--- a/standin/platform/initiative.go
+++ b/standin/platform/initiative.go
@@ -113,7 +113,7 @@
 			row.BootID++
 		}
 	}
-	s.complete(e.operation, nil)
+	s.complete(e.operation)
 }
 
 // appliesTo reports whether the worker still waits for this command: it may have
@@ -129,19 +129,6 @@
 	}
 }
 
-// abandon answers with the error and forgets the operation, so that a repeated
-// call tries again.
-func (s *state) abandon(id table.ID, err error) {
-	operation := s.operations.Get(id)
-	if operation == nil {
-		return
-	}
-	key := operation.key
-	s.complete(id, err)
-	s.operationIDs.Delete(key)
-	s.operations.Delete(id)
-}
-
 // countsEvent carries the targets' counts of requests in flight.
 type countsEvent map[string]int
 
--- a/standin/platform/requests.go
+++ b/standin/platform/requests.go
@@ -113,33 +113,53 @@
 	}
 	id := s.operations.Insert(operationRow{key: key, worker: workerID, at: now, waiting: []*request{r}})
 	s.operationIDs.Put(key, id)
-	if confirmed, err := s.change(now, r, id, workerID, row); confirmed || err != nil {
-		s.complete(id, err)
+	confirmed, err := s.change(now, r, id, workerID, row)
+	switch {
+	case err != nil:
+		s.abandon(id, err)
+	case confirmed:
+		s.complete(id)
 	}
 }
 
 func (s *state) repeat(operation *operationRow, r *request) {
 	if operation.done {
-		s.answer(r, response{err: operation.err})
+		s.answer(r, response{})
 		return
 	}
 	operation.waiting = append(operation.waiting, r)
 }
 
 // complete answers everyone who waits for the operation.
-func (s *state) complete(id table.ID, err error) {
+func (s *state) complete(id table.ID) {
 	operation := s.operations.Get(id)
 	if operation == nil {
 		return
 	}
-	operation.done, operation.err = true, err
+	operation.done = true
+	s.answerAll(operation, nil)
+	if row := s.workers.Get(operation.worker); row != nil && operation.key.kind != requestStart {
+		row.Operation = operation.key.id
+	}
+}
+
+// abandon answers with the error and forgets the operation. It had no effect, so
+// a repeated call may try again.
+func (s *state) abandon(id table.ID, err error) {
+	operation := s.operations.Get(id)
+	if operation == nil {
+		return
+	}
+	s.answerAll(operation, err)
+	s.operationIDs.Delete(operation.key)
+	s.operations.Delete(id)
+}
+
+func (s *state) answerAll(operation *operationRow, err error) {
 	for _, r := range operation.waiting {
 		s.answer(r, response{err: err})
 	}
 	operation.waiting = nil
-	if row := s.workers.Get(operation.worker); row != nil && err == nil && operation.key.kind != requestStart {
-		row.Operation = operation.key.id
-	}
 }
 
 // change makes the change of a call. It reports true if the change is complete,
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -97,7 +97,6 @@
 	worker  table.ID
 	at      time.Time
 	done    bool
-	err     error
 	waiting []*request
 }
 
--- a/standin/platform/systems.go
+++ b/standin/platform/systems.go
@@ -145,7 +145,7 @@
 		return
 	}
 	s.publishAt = tick.Now.Add(s.options.ListLag)
-	if s.faults.ListFrozen {
+	if s.faults.ListFrozen && s.published != nil {
 		return
 	}
 	published := make([]platform.Worker, 0, s.workers.Len())
--- /dev/null
+++ b/standin/program/program.go
@@ -0,0 +1,60 @@
+// Package program holds the flags and the life of the stand-in programs.
+package program
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/phuslu/log"
+
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/settings"
+)
+
+// Exit statuses.
+const (
+	exitOK      = 0
+	exitFailure = 1
+)
+
+// Logging holds the flags of the log.
+type Logging struct {
+	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"Least level that is logged: debug, info, warn or error."`
+}
+
+// run parses the flags, starts the program and waits for a signal. start
+// returns the fields of the ready event and a function that ends the program.
+func run(name, description string, args []string, flags any, logging *Logging, stdout, stderr io.Writer,
+	start func() ([]events.Field, func(), error),
+) int {
+	if _, err := settings.Parse(name, description, args, flags, stdout, stderr); err != nil {
+		_, _ = fmt.Fprintf(stderr, "%s: error: %v\n", name, err)
+		return exitFailure
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	logger := events.New(stderr, log.ParseLevel(logging.LogLevel), name, "")
+	fields, end, err := start()
+	if err != nil {
+		logger.Log(events.ServerFailed, events.Err(err))
+		return exitFailure
+	}
+	logger.Log(events.ProcessReady, fields...)
+	<-ctx.Done()
+	logger.Log(events.ProcessStopping)
+	end()
+	logger.Log(events.ProcessStopped)
+	return exitOK
+}
+
+// checkRange reports a flag whose value is outside the range from 1 on.
+func checkRange(flag string, value, most int) error {
+	const least = 1
+	if value < least || value > most {
+		return fmt.Errorf("--%s=%d is not in the range %d to %d", flag, value, least, most)
+	}
+	return nil
+}
