--- /dev/null
+++ b/command/dev.go
@@ -0,0 +1,83 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/waxwingbridge/waxwingbridge/local"
+)
+
+// devSettings are the flags of waxwing-dev.
+type devSettings struct {
+	Gateways    int    `default:"3" help:"Number of gateways, 1 to 8."`
+	Controllers int    `default:"2" help:"Number of controllers, 1 to 8."`
+	LogLevel    string `enum:"debug,info,warn,error" default:"warn" help:"Least level that is logged: debug, info, warn or error."`
+}
+
+const maxDevProcesses = 8
+
+// Validate reports numbers out of range.
+func (s *devSettings) Validate() error {
+	if s.Gateways < 1 || s.Gateways > maxDevProcesses {
+		return fmt.Errorf("--gateways: %d is not a number from 1 to %d", s.Gateways, maxDevProcesses)
+	}
+	if s.Controllers < 1 || s.Controllers > maxDevProcesses {
+		return fmt.Errorf("--controllers: %d is not a number from 1 to %d", s.Controllers, maxDevProcesses)
+	}
+	return nil
+}
+
+const devShutdown = 30 * time.Second
+
+// Dev runs waxwing-dev and returns its exit status.
+func Dev(args []string, stdout, stderr io.Writer) int {
+	const program = "waxwing-dev"
+	var flags devSettings
+	if status, ok := serverFlags(program, "Runs a whole site in one process on loopback, with stand-ins.", args, &flags, stderr); !ok {
+		return status
+	}
+	return run(program, devShutdown, stderr, fx.Invoke(func(lifecycle fx.Lifecycle) {
+		var site *local.Site
+		lifecycle.Append(fx.Hook{
+			OnStart: func(ctx context.Context) (err error) {
+				site, err = local.Start(ctx, local.Options{
+					Gateways: flags.Gateways, Controllers: flags.Controllers, LogLevel: flags.LogLevel, Log: stderr,
+				})
+				if err == nil {
+					printGuide(stdout, site)
+				}
+				return err
+			},
+			OnStop: func(ctx context.Context) error { site.Stop(ctx); return nil },
+		})
+	}))
+}
+
+// printGuide prints the addresses and a few commands to try.
+func printGuide(stdout io.Writer, site *local.Site) {
+	caller, operator := site.CallerAddresses(), site.OperatorAddresses()
+	_, _ = fmt.Fprintf(stdout, `waxwing-dev: the site is ready
+
+callers    %v
+operators  %v
+store      %s
+platform   %s
+
+Send a request:
+  curl -i -H 'Waxwing-Tenant: stall-17' 'http://%s/v1/pools/orders/hello?ms=20'
+Submit a job:
+  curl -s -H 'Waxwing-Tenant: stall-17' -d '{"pool":"ledger","family":"reconcile","milli_cores":500,"payload":"run:2s"}' http://%s/v1/jobs
+Look around and maintain a worker:
+  export WAXWING_CONTROLLER=http://%s
+  go run ./cmd/waxwingctl status
+  go run ./cmd/waxwingctl vms --pool orders
+  go run ./cmd/waxwingctl maintain w001 --reason "kernel update"
+  go run ./cmd/waxwingctl wave start
+
+Stop with Ctrl-C.
+`, caller, operator, site.StoreURL(), site.PlatformURL(), caller[0], caller[0], operator[0])
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -74,7 +74,9 @@
 	}
 	g.traffic.Start()
 	g.process.Go(g.loop.Run)
-	g.process.Start(func(ctx context.Context, event node.Event) error { return g.loop.Post(ctx, control.Observed{Event: event}) })
+	g.process.Start(func(ctx context.Context, event node.Event) error {
+		return g.loop.Post(ctx, control.Observed{Event: event})
+	})
 	g.process.Serve(g.process.Public, g.callerHandler())
 	g.process.ServeAdmin(func() string { return g.published.Load().notReady })
 	g.process.Log.Log(events.ProcessStarted, events.F("callers", g.CallerAddress()), events.F("peers", g.PeerAddress()),
@@ -116,7 +118,9 @@
 
 // report hands demand and refusals of a shard to control. A lost report is
 // followed by the next change.
-func (g *Gateway) report(report traffic.Report) { g.loop.TryPost(control.TrafficReported{Report: report}) }
+func (g *Gateway) report(report traffic.Report) {
+	g.loop.TryPost(control.TrafficReported{Report: report})
+}
 
 func (g *Gateway) postExchange(event exchange.Event) bool {
 	if event.Received != nil {
--- /dev/null
+++ b/local/local.go
@@ -0,0 +1,234 @@
+// Package local runs a whole site on loopback in one process: gateways and
+// controllers as in production, with stand-ins for platform and targets. It
+// serves newcomers and tests.
+package local
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/waxwingbridge/waxwingbridge/controller"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/gateway"
+	"github.com/waxwingbridge/waxwingbridge/node"
+	"github.com/waxwingbridge/waxwingbridge/policy"
+	"github.com/waxwingbridge/waxwingbridge/settings"
+	standin "github.com/waxwingbridge/waxwingbridge/standin/platform"
+	"github.com/waxwingbridge/waxwingbridge/standin/target"
+	"github.com/waxwingbridge/waxwingbridge/store"
+)
+
+// SiteName is the name of the site.
+const SiteName = "dev"
+
+// Options configure a site.
+type Options struct {
+	Gateways    int
+	Controllers int
+	Fleet       *standin.FleetSpec // nil means standin.DefaultFleet
+	Config      *policy.Document   // nil means policy.Example for the pools
+	RebootTime  time.Duration      // zero means the stand-in's default
+	LogLevel    string
+	Log         io.Writer // nil discards
+}
+
+// Site is a running site.
+type Site struct {
+	Platform    *standin.Server
+	Targets     *target.Group
+	Gateways    []*gateway.Gateway
+	Controllers []*controller.Controller
+	options     Options
+}
+
+// Start starts a site and waits until it is ready.
+func Start(ctx context.Context, options Options) (*Site, error) {
+	s := &Site{options: options}
+	if err := s.startStandins(); err != nil {
+		return nil, err
+	}
+	if err := s.seedConfig(ctx); err != nil {
+		s.Stop(ctx)
+		return nil, err
+	}
+	for number := range options.Controllers {
+		if err := s.startController(number); err != nil {
+			s.Stop(ctx)
+			return nil, err
+		}
+	}
+	for number := range options.Gateways {
+		if err := s.startGateway(number); err != nil {
+			s.Stop(ctx)
+			return nil, err
+		}
+	}
+	if err := s.waitReady(ctx); err != nil {
+		s.Stop(ctx)
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) fleet() standin.FleetSpec {
+	if s.options.Fleet != nil {
+		return *s.options.Fleet
+	}
+	return standin.DefaultFleet()
+}
+
+func (s *Site) startStandins() error {
+	workers := standin.BuildWorkers(s.fleet())
+	specs := make([]target.Spec, len(workers))
+	for i := range workers {
+		specs[i] = target.Spec{Worker: workers[i].ID}
+	}
+	var err error
+	if s.Targets, err = target.Start(target.Options{Targets: specs}); err != nil {
+		return err
+	}
+	for i := range workers {
+		workers[i].Address = s.Targets.Address(workers[i].ID)
+	}
+	s.Platform, err = standin.Start(standin.Options{Workers: workers, Targets: s.Targets, RebootTime: s.options.RebootTime})
+	return err
+}
+
+// seedConfig writes the first configuration document, which operators would
+// write with waxwingctl.
+func (s *Site) seedConfig(ctx context.Context) error {
+	document := s.options.Config
+	if document == nil {
+		var pools []string
+		for _, pool := range s.fleet().Pools {
+			pools = append(pools, pool.Name)
+		}
+		example := policy.Example(pools...)
+		document = &example
+	}
+	data, err := policy.Encode(document)
+	if err != nil {
+		return err
+	}
+	put := store.Put{Key: node.NewKeys(SiteName).Config(), Data: data, WriteID: node.NewWriteID()}
+	_, err = s.Platform.Store().CompareAndSwap(ctx, put)
+	return err
+}
+
+func (s *Site) process(number int) settings.Process {
+	return settings.Process{
+		Site: SiteName, AvailabilityZone: settings.Name(fmt.Sprintf("az%d", number%s.fleet().Zones+1)),
+		Store: []settings.BaseURL{settings.BaseURL(s.Platform.StoreURL())}, Platform: settings.BaseURL(s.Platform.PlatformURL()),
+		ListenPeers: "127.0.0.1:0", ListenAdmin: "127.0.0.1:0", ShutdownTimeout: settings.ShutdownTimeout(10 * time.Second),
+	}
+}
+
+func (s *Site) logger(role node.Role, incarnation string) *events.Logger {
+	if s.options.Log == nil {
+		return events.Discard()
+	}
+	return events.New(s.options.Log, log.ParseLevel(s.options.LogLevel), string(role), incarnation)
+}
+
+func (s *Site) startController(number int) error {
+	incarnation := node.NewIncarnation()
+	c, err := controller.New(&controller.Settings{Process: s.process(number), ListenOperators: "127.0.0.1:0"},
+		s.logger(node.RoleController, incarnation), incarnation)
+	if err != nil {
+		return err
+	}
+	s.Controllers = append(s.Controllers, c)
+	return c.Start()
+}
+
+func (s *Site) startGateway(number int) error {
+	incarnation := node.NewIncarnation()
+	g, err := gateway.New(&gateway.Settings{Process: s.process(number), ListenCallers: "127.0.0.1:0", TrafficShards: 2},
+		s.logger(node.RoleGateway, incarnation), incarnation)
+	if err != nil {
+		return err
+	}
+	s.Gateways = append(s.Gateways, g)
+	return g.Start()
+}
+
+const readyPoll = 50 * time.Millisecond
+
+// waitReady waits until every process reports that it is ready.
+func (s *Site) waitReady(ctx context.Context) error {
+	for _, address := range s.adminAddresses() {
+		for !ready(ctx, address) {
+			if err := store.Sleep(ctx, readyPoll); err != nil {
+				return fmt.Errorf("%s is not ready: %w", address, err)
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (s *Site) adminAddresses() []string {
+	var addresses []string
+	for _, g := range s.Gateways {
+		addresses = append(addresses, g.AdminAddress())
+	}
+	for _, c := range s.Controllers {
+		addresses = append(addresses, c.AdminAddress())
+	}
+	return addresses
+}
+
+// CallerAddresses returns the ip:port of each gateway towards callers.
+func (s *Site) CallerAddresses() []string {
+	addresses := make([]string, len(s.Gateways))
+	for i, g := range s.Gateways {
+		addresses[i] = g.CallerAddress()
+	}
+	return addresses
+}
+
+// OperatorAddresses returns the ip:port of each controller towards operators.
+func (s *Site) OperatorAddresses() []string {
+	addresses := make([]string, len(s.Controllers))
+	for i, c := range s.Controllers {
+		addresses[i] = c.OperatorAddress()
+	}
+	return addresses
+}
+
+// StoreURL returns the base URL of the stand-in's store.
+func (s *Site) StoreURL() string { return s.Platform.StoreURL() }
+
+// PlatformURL returns the base URL of the stand-in's VM and task interface.
+func (s *Site) PlatformURL() string { return s.Platform.PlatformURL() }
+
+// Stop ends the site gracefully.
+func (s *Site) Stop(ctx context.Context) {
+	for _, g := range s.Gateways {
+		g.Stop(ctx)
+	}
+	for _, c := range s.Controllers {
+		c.Stop(ctx)
+	}
+	if s.Platform != nil {
+		s.Platform.Close()
+	}
+	s.Targets.Close()
+}
