Serve and call peers over drpc

Only one call at a time uses a drpc connection, so state messages have one connection per peer and other calls take theirs from a pool. A call is reported as not run only if no byte of it was written.

--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,190 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/waxwingbridge/waxwingbridge/membership"
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/peerapi"
+	"github.com/waxwingbridge/waxwingbridge/peerapi/peerpb"
+)
+
+func keyed(body []byte) peerapi.KeyedRequest {
+	return peerapi.KeyedRequest{Key: "k", Tenant: "t", Pool: "p", Method: "POST", Path: "/", Body: body, Timeout: limit}
+}
+
+// Guards against a process that learns of a later document and never gets it,
+// and against state that does not arrive.
+func TestStateAndDocumentsSpread(t *testing.T) {
+	a := startNode(t, "a", "127.0.0.1:0", Options{})
+	b := startNode(t, "b", "127.0.0.1:0", Options{}, a.exchange.Address())
+	a.exchange.Publish(membership.DocumentConfig, 7, []byte(`{"revision":7}`))
+	a.exchange.Publish(membership.DocumentConfig, 6, []byte(`{"revision":6}`))
+	a.do(func(s *membership.State, now time.Time) {
+		s.SetRevision(membership.DocumentConfig, 7, now)
+		s.SetDemand("orders", 12)
+	})
+	a.await("b reports revision 7", "b", func(p *membership.Peer) bool {
+		return p != nil && p.Revisions[membership.DocumentConfig] == 7
+	})
+	if fetched := b.fetched.Load(); fetched == nil || fetched.Revision != 7 || string(fetched.Document) != `{"revision":7}` {
+		t.Errorf("fetched %+v", fetched)
+	}
+	b.do(func(s *membership.State, _ time.Time) {
+		id, _ := s.Find("a")
+		if requests, _ := s.Demand.Get(id, "orders"); requests != 12 {
+			t.Errorf("demand %d", requests)
+		}
+	})
+}
+
+// Guards against a peer that vanishes unnoticed, and against a reconnect that
+// keeps using the connection of the earlier incarnation.
+func TestPeerDisappearsAndReturns(t *testing.T) {
+	a := startNode(t, "a", "127.0.0.1:0", Options{})
+	b := startNode(t, "b", "127.0.0.1:0", Options{}, a.exchange.Address())
+	address := b.exchange.Address()
+	a.await("b is heard", "b", alive)
+	b.stop()
+	a.await("b is suspected", "b", func(p *membership.Peer) bool { return p.Suspected })
+	startNode(t, "b2", address, Options{})
+	a.await("b2 is heard at the address of b", "b2", alive)
+	a.await("b is replaced", "b", func(p *membership.Peer) bool { return p.Replaced })
+}
+
+// Guards against a pair that lost answers tear apart, and against a keyed
+// request whose lost answer is reported as not run.
+func TestOneWayCut(t *testing.T) {
+	h := newHome()
+	close(h.release)
+	b := startNode(t, "b", "127.0.0.1:0", Options{Keyed: h})
+	proxy := startCutter(t, b.exchange.Address())
+	a := startNode(t, "a", "127.0.0.1:0", Options{}, proxy.address())
+	a.await("b is heard", "b", alive)
+	proxy.loseAnswers.Store(true)
+	request := keyed(nil)
+	request.Timeout = time.Second
+	response := a.exchange.ExecuteKeyed(context.Background(), proxy.address(), request)
+	if response.Outcome != outcome.UnknownBecause(outcome.ReasonHomeNoAnswer) || h.runs.Load() != 1 {
+		t.Errorf("outcome %v after %d runs", response.Outcome, h.runs.Load())
+	}
+	from := time.Now()
+	a.await("a hears b again, which dials", "b", func(p *membership.Peer) bool {
+		return alive(p) && p.LastHeard.Sub(from) > 2*membership.SuspectAfter
+	})
+	b.await("b hears a", "a", alive)
+}
+
+// Guards against an upgrade in which processes of two versions refuse each other.
+func TestVersionSkew(t *testing.T) {
+	a := startNode(t, "a", "127.0.0.1:0", Options{})
+	transport, err := dial(context.Background(), a.exchange.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := drpcconn.New(transport)
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	later := &peerpb.State{Sender: &peerpb.Member{Incarnation: "later", Role: "gateway", Address: "127.0.0.1:1"}, Sequence: 1}
+	later.ProtoReflect().SetUnknown(protowire.AppendVarint(protowire.AppendTag(nil, 700, protowire.VarintType), 5))
+	earlier := &peerpb.State{Sender: &peerpb.Member{Incarnation: "earlier"}, Sequence: 1}
+	client := peerpb.NewDRPCPeerClient(conn)
+	for _, state := range []*peerpb.State{later, earlier} {
+		answer, err := client.Exchange(ctx, state)
+		if err != nil || answer.GetSender().GetIncarnation() != "a" {
+			t.Fatalf("answer %v, error %v", answer, err)
+		}
+		a.await("the sender is known", state.GetSender().GetIncarnation(), func(p *membership.Peer) bool { return p != nil && p.Heard })
+	}
+	if _, err := client.Exchange(ctx, &peerpb.State{}); err == nil {
+		t.Error("a message without sender was accepted")
+	}
+}
+
+// Guards against a call that is reported as run, or as unknown, although it
+// provably was not sent or not served.
+func TestCallsThatAreNotRun(t *testing.T) {
+	a := startNode(t, "a", "127.0.0.1:0", Options{})
+	b := startNode(t, "b", "127.0.0.1:0", Options{})
+	closed := listen(t, "127.0.0.1:0")
+	closed.Close()
+	expired := keyed(nil)
+	expired.Timeout = 0
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for _, c := range []struct {
+		name string
+		got  outcome.Outcome
+		want outcome.Reason
+	}{
+		{"unreachable", a.exchange.ExecuteKeyed(ctx, closed.Addr().String(), keyed(nil)).Outcome, outcome.ReasonUnreachable},
+		{"role without keys", a.exchange.ExecuteKeyed(ctx, b.exchange.Address(), keyed(nil)).Outcome, outcome.ReasonNoHome},
+		{"oversize", a.exchange.ExecuteKeyed(ctx, b.exchange.Address(), keyed(make([]byte, MaxMessageBytes))).Outcome, outcome.ReasonBadRequest},
+		{"expired", a.exchange.ExecuteKeyed(ctx, b.exchange.Address(), expired).Outcome, outcome.ReasonDeadline},
+		{"submit", a.exchange.SubmitJob(ctx, b.exchange.Address(), peerapi.JobSubmission{ID: "j"}).Outcome, outcome.ReasonNoController},
+		{"cancel", a.exchange.CancelJob(ctx, b.exchange.Address(), peerapi.JobReference{ID: "j"}).Outcome, outcome.ReasonNoController},
+		{"get", a.exchange.GetJob(ctx, closed.Addr().String(), peerapi.JobReference{ID: "j"}).Outcome, outcome.ReasonUnreachable},
+	} {
+		if c.got != outcome.NotRunBecause(c.want) {
+			t.Errorf("%s: outcome %v, want not run because of %s", c.name, c.got, c.want)
+		}
+	}
+}
+
+// Guards against an unknown outcome, or a second run, because a kept connection
+// was closed between two calls, and against a cut body.
+func TestClosedConnectionIsReplaced(t *testing.T) {
+	h := newHome()
+	close(h.release)
+	a := startNode(t, "a", "127.0.0.1:0", Options{})
+	b := startNode(t, "b", "127.0.0.1:0", Options{Keyed: h})
+	address := b.exchange.Address()
+	body := bytes.Repeat([]byte("x"), 1<<20)
+	for run := int32(1); run <= 3; run++ {
+		response := a.exchange.ExecuteKeyed(context.Background(), address, keyed(body))
+		if response.Outcome != outcome.Complete() || !bytes.Equal(response.Body, body) || h.runs.Load() != run {
+			t.Fatalf("run %d: outcome %v, %d bytes, %d runs", run, response.Outcome, len(response.Body), h.runs.Load())
+		}
+		kept, _ := a.exchange.calls.pool.Take(address)
+		b.stop()
+		<-kept.Closed() // the end of the connection has arrived before the next call
+		a.exchange.calls.pool.Put(address, kept)
+		b = startNode(t, "b2", address, Options{Keyed: h})
+	}
+}
+
+// Guards against a shutdown that cuts off a call in flight or runs a new one.
+func TestCloseFinishesCallsInFlight(t *testing.T) {
+	h := newHome()
+	a := startNode(t, "a", "127.0.0.1:0", Options{})
+	b := startNode(t, "b", "127.0.0.1:0", Options{Keyed: h})
+	first := make(chan peerapi.KeyedResponse, 1)
+	go func() {
+		first <- a.exchange.ExecuteKeyed(context.Background(), b.exchange.Address(), keyed([]byte("x")))
+	}()
+	<-h.began
+	closed := make(chan struct{})
+	go func() { defer close(closed); b.stop() }()
+	for !b.exchange.serving.draining() {
+		time.Sleep(time.Millisecond)
+	}
+	second := a.exchange.ExecuteKeyed(context.Background(), b.exchange.Address(), keyed(nil))
+	if second.Outcome != outcome.NotRunBecause(outcome.ReasonStopping) {
+		t.Errorf("new call during shutdown: %v", second.Outcome)
+	}
+	close(h.release)
+	if response := <-first; response.Outcome != outcome.Complete() || string(response.Body) != "x" {
+		t.Errorf("call in flight: %v", response.Outcome)
+	}
+	<-closed
+	if h.runs.Load() != 1 {
+		t.Errorf("%d runs, want 1", h.runs.Load())
+	}
+}
--- /dev/null
+++ b/exchange/server.go
@@ -0,0 +1,189 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"github.com/waxwingbridge/waxwingbridge/membership"
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/peerapi"
+	"github.com/waxwingbridge/waxwingbridge/peerapi/peerpb"
+)
+
+// Errors of the Exchange call. The peer sends its state again a second later.
+var (
+	errNoSender   = errors.New("exchange: message without sender")
+	errOverloaded = errors.New("exchange: control loop is overloaded")
+)
+
+// server implements the Peer service.
+type server struct {
+	exchange *Exchange
+}
+
+// Exchange posts the peer's state to the control loop and waits for the answer
+// that the loop composes.
+func (s *server) Exchange(ctx context.Context, in *peerpb.State) (*peerpb.State, error) {
+	received := &membership.Received{Message: peerapi.ToMessage(in), Token: s.exchange.tokens.Add(1)}
+	if received.Message.Sender.Incarnation == "" {
+		return nil, errNoSender
+	}
+	answer := make(chan membership.Message, 1)
+	s.exchange.waiting.Store(received.Token, answer)
+	defer s.exchange.waiting.Delete(received.Token)
+	if !s.exchange.options.Post(Event{Received: received}) {
+		return nil, errOverloaded
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	select {
+	case message := <-answer:
+		return peerapi.FromMessage(&message), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// FetchDocument answers from the published documents.
+func (s *server) FetchDocument(_ context.Context, in *peerpb.FetchDocumentRequest) (*peerpb.FetchDocumentResponse, error) {
+	kind, ok := peerapi.ToKind(in.GetKind())
+	if !ok {
+		return &peerpb.FetchDocumentResponse{}, nil
+	}
+	held := s.exchange.documents[kind].Load()
+	if held == nil {
+		return &peerpb.FetchDocumentResponse{}, nil
+	}
+	return &peerpb.FetchDocumentResponse{Revision: held.revision, Document: held.data}, nil
+}
+
+// ExecuteKeyed delegates to the owner's handler.
+func (s *server) ExecuteKeyed(ctx context.Context, in *peerpb.KeyedRequest) (*peerpb.KeyedResponse, error) {
+	request := peerapi.ToKeyedRequest(in)
+	response := peerapi.KeyedResponse{}
+	switch handler := s.exchange.options.Keyed; {
+	case handler == nil:
+		response.Outcome = outcome.NotRunBecause(outcome.ReasonNoHome)
+	case s.exchange.serving.draining():
+		response.Outcome = outcome.NotRunBecause(outcome.ReasonStopping)
+	case request.Timeout <= 0:
+		response.Outcome = outcome.NotRunBecause(outcome.ReasonDeadline)
+	default:
+		ctx, cancel := context.WithTimeout(ctx, request.Timeout)
+		defer cancel()
+		response = handler.ExecuteKeyed(ctx, request)
+	}
+	out := peerapi.FromKeyedResponse(&response)
+	if proto.Size(out) > MaxMessageBytes {
+		dropped := peerapi.KeyedResponse{Outcome: outcome.UnknownBecause(outcome.ReasonAnswerDropped), HomesEpoch: response.HomesEpoch}
+		return peerapi.FromKeyedResponse(&dropped), nil
+	}
+	return out, nil
+}
+
+// SubmitJob delegates to the owner's handler.
+func (s *server) SubmitJob(ctx context.Context, in *peerpb.SubmitJobRequest) (*peerpb.JobResponse, error) {
+	return s.job(in.GetId(), func(handler JobHandler) peerapi.JobAnswer {
+		return handler.SubmitJob(ctx, peerapi.ToJobSubmission(in))
+	})
+}
+
+// CancelJob delegates to the owner's handler.
+func (s *server) CancelJob(ctx context.Context, in *peerpb.JobRequest) (*peerpb.JobResponse, error) {
+	return s.job(in.GetId(), func(handler JobHandler) peerapi.JobAnswer {
+		return handler.CancelJob(ctx, peerapi.ToJobReference(in))
+	})
+}
+
+// GetJob delegates to the owner's handler.
+func (s *server) GetJob(ctx context.Context, in *peerpb.JobRequest) (*peerpb.JobResponse, error) {
+	return s.job(in.GetId(), func(handler JobHandler) peerapi.JobAnswer {
+		return handler.GetJob(ctx, peerapi.ToJobReference(in))
+	})
+}
+
+func (s *server) job(id string, call func(JobHandler) peerapi.JobAnswer) (*peerpb.JobResponse, error) {
+	answer := peerapi.JobAnswer{ID: id}
+	switch handler := s.exchange.options.Jobs; {
+	case handler == nil:
+		answer.Outcome = outcome.NotRunBecause(outcome.ReasonNoController)
+	case s.exchange.serving.draining():
+		answer.Outcome = outcome.NotRunBecause(outcome.ReasonStopping)
+	default:
+		answer = call(handler)
+	}
+	return peerapi.FromJobAnswer(&answer), nil
+}
+
+// exchangeMethod is not counted as a call in flight: it is repeated every second.
+const exchangeMethod = "/waxwing.peer.v1.Peer/Exchange"
+
+// countingHandler counts calls until their answer is written.
+type countingHandler struct {
+	inner drpc.Handler
+	calls *drainer
+}
+
+// HandleRPC serves one call.
+func (h *countingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	if rpc != exchangeMethod {
+		h.calls.begin()
+		defer h.calls.end()
+	}
+	return h.inner.HandleRPC(stream, rpc)
+}
+
+// drainer counts calls in flight and waits for their end.
+type drainer struct {
+	mu       sync.Mutex
+	inFlight int
+	idle     chan struct{} // set while draining; closed when no call is in flight
+	closed   bool
+}
+
+func (d *drainer) begin() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inFlight++
+}
+
+func (d *drainer) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inFlight--
+	d.closeIfIdle()
+}
+
+func (d *drainer) closeIfIdle() {
+	if d.idle != nil && d.inFlight == 0 && !d.closed {
+		d.closed = true
+		close(d.idle)
+	}
+}
+
+func (d *drainer) draining() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.idle != nil
+}
+
+// drain waits until no call is in flight or the context ends.
+func (d *drainer) drain(ctx context.Context) error {
+	d.mu.Lock()
+	if d.idle == nil {
+		d.idle = make(chan struct{})
+	}
+	idle := d.idle
+	d.closeIfIdle()
+	d.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
