Add admission, fair queueing, target choice and retries to the traffic shards

Tenant quotas, weighted fair queueing with classes, bounded queues, deadlines, retries within a budget, slot credits before tries beyond them, outlier ejection and records of idempotency keys at their home.

--- a/gateway/shards.go
+++ b/gateway/shards.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/gateway/traffic"
 	"github.com/waxwingbridge/waxwingbridge/table"
 )
@@ -28,14 +30,19 @@
 
 func newShard(t *Traffic, number int) *shard {
 	s := &shard{traffic: t, number: number, cancels: map[table.ID]context.CancelFunc{}}
-	state := traffic.NewState(&t.snapshot, t.config.Seed+uint64(number), t.config.Chooser) //nolint:gosec // 1-64
+	state := traffic.NewState(traffic.Config{
+		Source: &t.snapshot, Seed: t.config.Seed + uint64(number), Chooser: t.config.Chooser, //nolint:gosec // 1-64
+		Owns: func(pool string) bool { return t.numberOf(pool) == number },
+	})
 	s.loop = engine.NewLoop(traffic.Program(s), state, inboxSize)
 	return s
 }
 
 // shardOf returns the shard that owns the requests of the pool.
-func (t *Traffic) shardOf(pool string) *shard {
-	return t.shards[xxhash.Sum64String(pool)%uint64(len(t.shards))]
+func (t *Traffic) shardOf(pool string) *shard { return t.shards[t.numberOf(pool)] }
+
+func (t *Traffic) numberOf(pool string) int {
+	return int(xxhash.Sum64String(pool) % uint64(max(1, t.config.Shards))) //nolint:gosec // 1-64
 }
 
 // Send starts the round trip of an attempt.
@@ -58,8 +65,11 @@
 		s.traffic.client.attempts.leave()
 		return
 	}
-	stream.onEnd = func() {
-		s.finish(&traffic.Finished{Attempt: send.Attempt, Ending: traffic.StreamEnded})
+	// The answer was handed on, so the shard no longer watches its deadline.
+	limit := time.AfterFunc(send.Remaining, func() { s.Abort(send.Attempt) })
+	stream.onEnd = func(ending traffic.Ending) {
+		limit.Stop()
+		s.finish(&traffic.Finished{Attempt: send.Attempt, Ending: ending})
 		s.traffic.client.attempts.leave()
 	}
 	s.post(finished)
@@ -92,6 +102,22 @@
 // Answer hands a result to the goroutine that waits for it.
 func (s *shard) Answer(reply traffic.Reply) { reply.Submission.Reply <- reply.Result }
 
+// Discard closes the stream of an answer that nobody reads, which ends its
+// attempt.
+func (s *shard) Discard(answer *traffic.Answer) { go answer.Stream.Close() }
+
+var noticeEvents = map[traffic.NoticeKind]events.Event{
+	traffic.TargetEjected:    events.TargetEjected,
+	traffic.TargetReadmitted: events.TargetReadmitted,
+	traffic.TargetLeaving:    events.TargetLeaving,
+	traffic.AnswerDiscarded:  events.AnswerDiscarded,
+}
+
+// Note writes a notice to the log.
+func (s *shard) Note(notice traffic.Notice) {
+	s.traffic.config.Logger.Log(noticeEvents[notice.Kind], events.F("worker", notice.Worker))
+}
+
 // Report hands demand and refusals to control.
 func (s *shard) Report(report traffic.Report) { s.traffic.config.Report(report) }
 
--- a/gateway/target_answer.go
+++ b/gateway/target_answer.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -104,17 +106,30 @@
 
 // streamedAnswer is the rest of a large answer. Closing it ends the attempt.
 type streamedAnswer struct {
-	body  io.ReadCloser
-	once  sync.Once
-	onEnd func()
+	body     io.ReadCloser
+	once     sync.Once
+	cutShort bool // by the target, not by an abort; written by Read, which never runs beside Close
+	onEnd    func(traffic.Ending)
 }
 
 // Read returns io.ErrUnexpectedEOF when the target truncates the answer.
-func (s *streamedAnswer) Read(p []byte) (int, error) { return s.body.Read(p) }
+func (s *streamedAnswer) Read(p []byte) (int, error) {
+	n, err := s.body.Read(p)
+	if err != nil && err != io.EOF && !errors.Is(err, context.Canceled) { //nolint:errorlint // Read returns io.EOF itself
+		s.cutShort = true
+	}
+	return n, err
+}
 
 // Close reports the end of the attempt.
 func (s *streamedAnswer) Close() error {
 	err := s.body.Close()
-	s.once.Do(s.onEnd)
+	s.once.Do(func() {
+		if s.cutShort {
+			s.onEnd(traffic.CutShort)
+			return
+		}
+		s.onEnd(traffic.StreamEnded)
+	})
 	return err
 }
--- /dev/null
+++ b/gateway/traffic/adopt.go
@@ -0,0 +1,149 @@
+package traffic
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/routing"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// adoptSnapshot puts the latest published snapshot in force. Targets are only
+// compared when control published another list of them.
+func adoptSnapshot(s *State, tick engine.Tick) {
+	next := s.config.Source.Load()
+	previous := s.snapshot
+	if next == nil || next == previous {
+		return
+	}
+	s.snapshot = next
+	if previous == nil || previous.Policy != next.Policy || previous.LiveGateways != next.LiveGateways {
+		s.adoptPools(tick)
+	}
+	if previous == nil || previous.Policy != next.Policy || !sameTargets(previous.Targets, next.Targets) ||
+		previous.AvailabilityZone != next.AvailabilityZone {
+		s.adoptTargets(tick)
+	}
+	s.adoptCredits(tick)
+	for id := range s.Pools.All() {
+		s.touch(id)
+	}
+}
+
+func sameTargets(a, b []Target) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// adoptPools creates the rows of new pools and updates the policy of all. The
+// row of a pool that is no longer declared stays; new requests to it are refused.
+func (s *State) adoptPools(tick engine.Tick) {
+	for _, spec := range s.snapshot.Policy.Pools() {
+		if s.config.Owns != nil && !s.config.Owns(spec.Name) {
+			continue
+		}
+		id, ok := s.poolIndex.Get(spec.Name)
+		if !ok {
+			id = s.Pools.Insert(Pool{Name: spec.Name})
+			s.poolIndex.Put(spec.Name, id)
+		}
+		pool := s.Pools.Get(id)
+		pool.Policy, _ = s.snapshot.Policy.Pool(spec.Name)
+		pool.Targets.SetLimits(&s.Fleet, s.poolTargets.Get(id), s.limitsOf(pool), tick.Now)
+	}
+}
+
+func (s *State) limitsOf(pool *Pool) routing.Limits {
+	gateways := max(1, s.snapshot.LiveGateways)
+	return routing.Limits{
+		Slots:       pool.Policy.SlotsPerTarget,
+		Connections: routing.ConnectionShare(pool.Policy.ConnectionsTarget, gateways),
+		Gateways:    gateways,
+		EjectionCap: pool.Policy.EjectionCap,
+	}
+}
+
+func (s *State) adoptTargets(tick engine.Tick) {
+	for i := range s.snapshot.Targets {
+		listed := &s.snapshot.Targets[i]
+		if poolID, ok := s.poolIndex.Get(listed.Pool); ok {
+			s.adoptTarget(tick, poolID, listed)
+		}
+	}
+	for id, target := range s.Fleet.Rows.All() {
+		if target.Listed != s.snapshot.Version {
+			s.unlist(id, target, tick.Now)
+		}
+	}
+}
+
+func (s *State) adoptTarget(tick engine.Tick, poolID table.ID, listed *Target) {
+	pool := s.Pools.Get(poolID)
+	key := targetKey{pool: poolID, worker: listed.Worker, address: listed.Address}
+	id, known := s.targetIndex.Get(key)
+	if !known {
+		id = pool.Targets.Add(&s.Fleet, routing.Target{
+			Pool: poolID, Worker: listed.Worker, Address: listed.Address,
+		}, tick.Now)
+		s.targetIndex.Put(key, id)
+		s.poolTargets.Add(poolID, id)
+	}
+	pool.Targets.Change(&s.Fleet, id, tick.Now, func(t *routing.Target) {
+		t.AvailabilityZone = listed.AvailabilityZone
+		t.Local = listed.AvailabilityZone == s.snapshot.AvailabilityZone
+		t.ServiceEpoch = listed.ServiceEpoch
+		t.Usable = listed.Usable
+		t.Listed = s.snapshot.Version
+	})
+}
+
+// unlist takes a target out of service. Its row goes with its last attempt.
+func (s *State) unlist(id table.ID, target *routing.Target, now time.Time) {
+	pool := s.Pools.Get(target.Pool)
+	if target.InFlight > 0 {
+		pool.Targets.Change(&s.Fleet, id, now, func(t *routing.Target) { t.Usable = false })
+		return
+	}
+	s.targetIndex.Delete(targetKey{pool: target.Pool, worker: target.Worker, address: target.Address})
+	s.poolTargets.Remove(target.Pool, id)
+	pool.Targets.Remove(&s.Fleet, id, now)
+}
+
+func (s *State) adoptCredits(tick engine.Tick) {
+	for id, target := range s.Fleet.Rows.All() {
+		credit := s.snapshot.Credits[target.Worker]
+		if credit.Slots == target.Credits && credit.Until.Equal(target.CreditsUntil) {
+			continue
+		}
+		s.Pools.Get(target.Pool).Targets.Change(&s.Fleet, id, tick.Now, func(t *routing.Target) {
+			t.Credits, t.CreditsUntil = credit.Slots, credit.Until
+		})
+	}
+}
+
+// fresh reports whether this gateway may vouch for targets.
+func (s *State) fresh(now time.Time) bool {
+	return s.snapshot != nil && now.Before(s.snapshot.FreshUntil)
+}
+
+// staleAt returns the time at which waiting requests must be refused as
+// isolated, or zero if none wait.
+func (s *State) staleAt() time.Time {
+	if s.snapshot == nil || s.queued == 0 {
+		return time.Time{}
+	}
+	return s.snapshot.FreshUntil
+}
+
+// wakeTargets updates the targets whose state changes with time: the end of an
+// ejection, of a pause after a refusal, or of slot credits.
+func wakeTargets(s *State, tick engine.Tick) {
+	for {
+		id, at, ok := s.Fleet.Wake.Min()
+		if !ok || at.After(tick.Now) {
+			return
+		}
+		poolID := s.Fleet.Rows.Get(id).Pool
+		s.Pools.Get(poolID).Targets.Woken(&s.Fleet, id, tick.Now)
+		s.touch(poolID)
+	}
+}
--- /dev/null
+++ b/gateway/traffic/complete.go
@@ -0,0 +1,130 @@
+package traffic
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/routing"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// serverError is the least status that counts as a failure of the target.
+const serverError = 500
+
+// completeAttempts handles the attempts that ended. An ending whose attempt or
+// request is gone is late; its answer is discarded.
+func completeAttempts(s *State, tick engine.Tick) {
+	for i, finished := range s.finished {
+		s.complete(tick, finished)
+		s.finished[i] = nil
+	}
+	s.finished = s.finished[:0]
+}
+
+func (s *State) complete(tick engine.Tick, finished *Finished) {
+	attempt := s.Attempts.Get(finished.Attempt)
+	if attempt == nil {
+		s.discard(finished.Answer)
+		return
+	}
+	requestID, sentAt, target := attempt.Request, attempt.SentAt, attempt.Choice.Target
+	request := s.Requests.Get(requestID)
+	if request == nil && !attempt.streaming {
+		s.notices.Add(Notice{Kind: AnswerDiscarded, Worker: attempt.Worker})
+		s.discard(finished.Answer)
+	}
+	attempt.streaming = finished.Ending == StreamStarted
+	if !attempt.streaming {
+		s.endAttempt(tick, finished, attempt)
+	}
+	if request != nil {
+		request.exclude = target
+		s.conclude(tick, requestID, request, finished, tick.Now.Sub(sentAt))
+	}
+}
+
+// endAttempt removes the row of an attempt and tells its target's row about it.
+func (s *State) endAttempt(tick engine.Tick, finished *Finished, attempt *Attempt) {
+	pool := s.Pools.Get(attempt.Pool)
+	pool.running[attempt.Class]--
+	verdict := attempt.verdict
+	if verdict == 0 {
+		verdict = verdictOf(finished)
+	}
+	if verdict == routing.Draining {
+		s.draining = append(s.draining, attempt.Worker)
+		s.notices.Add(Notice{Kind: TargetLeaving, Worker: attempt.Worker})
+	}
+	wasEjected, wasReadmitted := pool.Targets.Ended(&s.Fleet, routing.Ending{
+		Verdict: verdict, Choice: attempt.Choice, Service: pool.service[attempt.Class].Mean(tick.Now),
+	}, tick.Now)
+	if wasEjected {
+		s.notices.Add(Notice{Kind: TargetEjected, Worker: attempt.Worker})
+	}
+	if wasReadmitted {
+		s.notices.Add(Notice{Kind: TargetReadmitted, Worker: attempt.Worker})
+	}
+	targetID := attempt.Choice.Target
+	if target := s.Fleet.Rows.Get(targetID); target.Listed != s.snapshot.Version && target.InFlight == 0 && !target.Usable {
+		s.unlist(targetID, target, tick.Now)
+	}
+	s.touch(attempt.Pool)
+	s.Attempts.Delete(finished.Attempt)
+}
+
+func verdictOf(finished *Finished) routing.Verdict {
+	switch finished.Ending {
+	case Answered:
+		if finished.Answer.Status >= serverError {
+			return routing.Failing
+		}
+		return routing.Healthy
+	case StreamStarted, StreamEnded:
+		return routing.Healthy
+	case RefusedFull, RefusedConnections:
+		return routing.Full
+	case RefusedDraining:
+		return routing.Draining
+	case NotSent, ConnectionLost, CutShort, ForeignAnswer:
+		return routing.Failing
+	default:
+		return routing.Neutral
+	}
+}
+
+// conclude answers the request of an attempt that ended, or retries it.
+func (s *State) conclude(tick engine.Tick, id table.ID, request *Request, finished *Finished, took time.Duration) {
+	pool := s.Pools.Get(request.Pool)
+	switch finished.Ending {
+	case Answered, StreamStarted:
+		if finished.Answer.Status < serverError {
+			pool.service[request.Class].Observe(tick.Now, took)
+		}
+		s.finish(tick, id, request, Result{Outcome: outcome.Complete(), Answer: finished.Answer})
+		return
+	case RefusedFull, RefusedConnections, RefusedDraining:
+		request.notRun = outcome.ReasonRefused
+	case NotSent:
+		request.notRun = outcome.ReasonUnreachable
+	case CutShort:
+		request.maybeRun = outcome.ReasonCutShort
+	case ConnectionLost, ForeignAnswer, StreamEnded:
+		request.maybeRun = outcome.ReasonConnectionLost
+	}
+	s.retryOrEnd(tick, id, request, pool)
+}
+
+// retryOrEnd retries a request that is idempotent or provably was not run, as
+// far as the budget and the deadline allow.
+func (s *State) retryOrEnd(tick engine.Tick, id table.ID, request *Request, pool *Pool) {
+	bound := routing.RetryDelayBound(request.sends)
+	repeatable := request.maybeRun == outcome.ReasonNone || request.Submission.Idempotent
+	inTime := tick.Now.Add(bound).Before(request.Deadline)
+	if !repeatable || !inTime || !pool.retries.Take() {
+		s.endWithout(tick, id, request, request.notRun)
+		return
+	}
+	request.attempt = 0
+	s.delay(tick, id, request, bound)
+}
--- a/gateway/traffic/types.go
+++ b/gateway/traffic/types.go
@@ -115,7 +115,7 @@
 type Published struct{}
 
 // Finished reports the end of an attempt. A streamed answer is reported twice:
-// first with StreamStarted, then with StreamEnded.
+// first with StreamStarted, then with StreamEnded or CutShort.
 type Finished struct {
 	Attempt table.ID
 	Ending  Ending
@@ -134,7 +134,7 @@
 const (
 	Answered           Ending = iota + 1 // whole answer
 	StreamStarted                        // a large answer has begun and continues
-	StreamEnded                          // the large answer ended, whole or not
+	StreamEnded                          // the large answer was read to its end, or the caller went away
 	RefusedFull                          // the target refused: all slots in use
 	RefusedConnections                   // the target refused: too many connections
 	RefusedDraining                      // the target refused: it takes no new work
@@ -178,10 +178,31 @@
 	Requests int
 }
 
+// NoticeKind names something that operators want to see in the log.
+type NoticeKind uint8
+
+// The kinds of notice.
+const (
+	TargetEjected NoticeKind = iota + 1
+	TargetReadmitted
+	TargetLeaving   // it refused with "draining"
+	AnswerDiscarded // it belongs to no request that still waits
+)
+
+// Notice is an effect for the log.
+type Notice struct {
+	Kind   NoticeKind
+	Worker string
+}
+
 // Performer carries out the effects of a tick. Its methods must not block.
 type Performer interface {
 	Send(Send)
+	// Abort ends the round trip of an attempt. Its end is still reported.
 	Abort(attempt table.ID)
 	Answer(Reply)
+	// Discard closes the stream of an answer that nobody reads.
+	Discard(*Answer)
 	Report(Report)
+	Note(Notice)
 }
--- /dev/null
+++ b/idempotency/records.go
@@ -0,0 +1,191 @@
+package idempotency
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// Bounds of the records of one shard.
+const (
+	// MaxRecords bounds the records. At about 300 bytes each they take 75 MB.
+	MaxRecords = 250_000
+	// MaxAnswerBytes bounds the stored answers. Beyond it, the oldest answers
+	// are dropped; their records stay.
+	MaxAnswerBytes = 64 << 20
+	// MaxWaiters bounds the repeated requests that wait for one key.
+	MaxWaiters = 64
+)
+
+// Fingerprint identifies the request that a key is bound to.
+type Fingerprint struct {
+	sum    uint64
+	length int
+}
+
+// FingerprintOf returns the fingerprint of a request. Each part is preceded by
+// its length, so that different requests never hash the same bytes.
+func FingerprintOf(tenant, method, path string, body []byte) Fingerprint {
+	var digest xxhash.Digest
+	digest.Reset()
+	length := len(body)
+	for _, part := range []string{tenant, method, path} {
+		writeLength(&digest, len(part))
+		_, _ = digest.WriteString(part)
+		length += len(part)
+	}
+	writeLength(&digest, len(body))
+	_, _ = digest.Write(body)
+	return Fingerprint{sum: digest.Sum64(), length: length}
+}
+
+func writeLength(digest *xxhash.Digest, length int) {
+	var buffer [8]byte
+	binary.LittleEndian.PutUint64(buffer[:], uint64(length)) //nolint:gosec // not negative
+	_, _ = digest.Write(buffer[:])
+}
+
+// Name identifies a record: keys are recorded per pool, because the requests of
+// a pool share a shard.
+type Name struct{ Pool, Key string }
+
+// Record is a row for a key that was used. A is the type of answers.
+type Record[A any] struct {
+	Name        Name
+	Fingerprint Fingerprint
+	Request     table.ID   // that runs under the key; zero once it has an outcome
+	Waiters     []table.ID // repeated requests
+	Outcome     outcome.Outcome
+	Answer      A
+
+	size     int // bytes of the answer, zero if none is kept
+	expires  time.Time
+	finished table.Link
+	kept     table.Link
+}
+
+// Records is the table of keys of one shard. The zero value is empty.
+type Records[A any] struct {
+	rows     table.Table[Record[A]]
+	names    table.Index[Name]
+	finished table.Chain[Record[A]] // by expiry
+	kept     table.Chain[Record[A]] // with an answer, by time of completion
+	bytes    int
+}
+
+func finishedLink[A any](r *Record[A]) *table.Link { return &r.finished }
+func keptLink[A any](r *Record[A]) *table.Link     { return &r.kept }
+
+// Len returns the number of records.
+func (r *Records[A]) Len() int { return r.rows.Len() }
+
+// AnswerBytes returns the size of all stored answers.
+func (r *Records[A]) AnswerBytes() int { return r.bytes }
+
+// Get returns the record, or nil. The pointer is valid until the next Begin.
+func (r *Records[A]) Get(id table.ID) *Record[A] { return r.rows.Get(id) }
+
+// Find returns the record of a key, if there is one.
+func (r *Records[A]) Find(name Name) (table.ID, bool) { return r.names.Get(name) }
+
+// Begin records a key before its request is handed to a target. It reports
+// false if the table is full.
+func (r *Records[A]) Begin(name Name, fingerprint Fingerprint, request table.ID) (table.ID, bool) {
+	if r.rows.Len() >= MaxRecords {
+		return 0, false
+	}
+	id := r.rows.Insert(Record[A]{Name: name, Fingerprint: fingerprint, Request: request})
+	r.names.Put(name, id)
+	return id, true
+}
+
+// Wait adds a repeated request, or reports false if too many wait.
+func (r *Records[A]) Wait(id, request table.ID) bool {
+	record := r.rows.Get(id)
+	if len(record.Waiters) >= MaxWaiters {
+		return false
+	}
+	record.Waiters = append(record.Waiters, request)
+	return true
+}
+
+// StopWaiting removes a repeated request.
+func (r *Records[A]) StopWaiting(id, request table.ID) {
+	record := r.rows.Get(id)
+	if i := slices.Index(record.Waiters, request); i >= 0 {
+		record.Waiters = slices.Delete(record.Waiters, i, i+1)
+	}
+}
+
+// Forget removes the record of a request that provably was not run, so that the
+// key can be used again. It returns the repeated requests that waited.
+func (r *Records[A]) Forget(id table.ID) []table.ID {
+	record := r.rows.Get(id)
+	waiters := record.Waiters
+	r.names.Delete(record.Name)
+	r.rows.Delete(id)
+	return waiters
+}
+
+// Finish stores the outcome and, if size is not zero, the answer. It returns
+// the repeated requests that waited.
+func (r *Records[A]) Finish(id table.ID, result outcome.Outcome, answer A, size int, now time.Time) []table.ID {
+	record := r.rows.Get(id)
+	waiters := record.Waiters
+	record.Waiters, record.Request = nil, 0
+	record.Outcome, record.expires = result, now.Add(Retention)
+	r.finished.PushBack(&r.rows, finishedLink, id)
+	if size > 0 {
+		record.Answer, record.size = answer, size
+		r.bytes += size
+		r.kept.PushBack(&r.rows, keptLink, id)
+		r.trim()
+	}
+	return waiters
+}
+
+// trim drops the oldest answers beyond the bound. The outcome of their keys
+// becomes unknown: the request was run, but its answer cannot be repeated.
+func (r *Records[A]) trim() {
+	for r.bytes > MaxAnswerBytes {
+		id := r.kept.Front()
+		r.dropAnswer(id)
+		r.rows.Get(id).Outcome = outcome.UnknownBecause(outcome.ReasonAnswerDropped)
+	}
+}
+
+func (r *Records[A]) dropAnswer(id table.ID) {
+	record := r.rows.Get(id)
+	if !r.kept.Remove(&r.rows, keptLink, id) {
+		return
+	}
+	var none A
+	r.bytes -= record.size
+	record.Answer, record.size = none, 0
+}
+
+// Expire removes the finished records whose retention has ended.
+func (r *Records[A]) Expire(now time.Time) {
+	for {
+		id := r.finished.Front()
+		if id == 0 || now.Before(r.rows.Get(id).expires) {
+			return
+		}
+		r.dropAnswer(id)
+		r.finished.Remove(&r.rows, finishedLink, id)
+		r.Forget(id)
+	}
+}
+
+// NextExpiry returns the time of the next Expire that has work, or zero.
+func (r *Records[A]) NextExpiry() time.Time {
+	if id := r.finished.Front(); id != 0 {
+		return r.rows.Get(id).expires
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/routing/ejection.go
@@ -0,0 +1,135 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Verdict says what the end of an attempt tells about its target.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Healthy is a whole answer.
+	Healthy Verdict = iota + 1
+	// Failing is a failure to connect, a broken connection, a truncated answer,
+	// a missed deadline or a server error.
+	Failing
+	// Full is a refusal for lack of slots or connections.
+	Full
+	// Draining is a refusal because the target is leaving.
+	Draining
+	// Neutral is an attempt that was given up for reasons of the caller.
+	Neutral
+)
+
+// Ending describes the end of an attempt.
+type Ending struct {
+	Verdict Verdict
+	Choice  Choice
+	// Service is the typical service time of the pool, zero if not known.
+	Service time.Duration
+}
+
+const (
+	// A refusal keeps the target out for a random time between these bounds. It
+	// is about the time in which one of eight slots becomes free.
+	blockedLeast = 5 * time.Millisecond
+	blockedMost  = 30 * time.Millisecond
+	// unknownService stands in for the service time of a pool without answers.
+	unknownService = 50 * time.Millisecond
+)
+
+// Ended counts the end of an attempt. It reports whether the target was ejected
+// or readmitted by it.
+func (p *Targets) Ended(fleet *Fleet, ending Ending, now time.Time) (wasEjected, wasReadmitted bool) {
+	if ending.Choice.Beyond {
+		p.beyond--
+	}
+	p.Change(fleet, ending.Choice.Target, now, func(t *Target) {
+		atLimit := t.InFlight >= p.limitOf(t)
+		t.InFlight--
+		switch ending.Verdict {
+		case Healthy:
+			if atLimit {
+				t.grow(now, p.Limits.most())
+			}
+			wasReadmitted = p.succeeded(t, now)
+		case Failing:
+			wasEjected = p.failed(t, ending.Service, now, fleet.Random)
+		case Full:
+			t.shrink(now)
+			t.blockedUntil = now.Add(blockedLeast + jitter(fleet.Random, blockedMost-blockedLeast))
+		case Draining:
+			t.drainingEpoch = t.ServiceEpoch
+		case Neutral:
+		}
+	})
+	return wasEjected, wasReadmitted
+}
+
+func (p *Targets) succeeded(t *Target, now time.Time) bool {
+	t.health.record(now, false)
+	p.health.record(now, false)
+	if t.circuit.state != halfOpen {
+		return false
+	}
+	t.circuit.successes++
+	if t.circuit.successes < probeSuccesses {
+		return false
+	}
+	t.circuit.state, t.circuit.readmit = closed, now
+	t.health = health{}
+	return true
+}
+
+func (p *Targets) failed(t *Target, service time.Duration, now time.Time, random *rand.Rand) bool {
+	t.health.record(now, true)
+	p.health.record(now, true)
+	if service <= 0 {
+		service = unknownService
+	}
+	if t.cooling.Before(now) {
+		t.cooling = now
+	}
+	t.cooling, t.coolingUnit = t.cooling.Add(service), service
+	switch t.circuit.state {
+	case halfOpen:
+		t.eject(now, random)
+		return true
+	case closed:
+		if p.isOutlier(t) {
+			t.eject(now, random)
+			return true
+		}
+	case ejected:
+	}
+	return false
+}
+
+func (p *Targets) isOutlier(t *Target) bool {
+	share := t.health.share()
+	if t.health.good+t.health.bad < ejectionSamples || share < ejectionShare ||
+		share < p.health.share()+ejectionDifference {
+		return false
+	}
+	// The caller has taken this target out of the sum of the pool.
+	return float64(p.broken+1) <= p.Limits.EjectionCap*float64(p.Reachable+1)
+}
+
+func (t *Target) eject(now time.Time, random *rand.Rand) {
+	if t.circuit.state == closed && now.Sub(t.circuit.readmit) > ejectionMost {
+		t.circuit.count = 0
+	}
+	length := min(ejectionMost, ejectionBase<<min(t.circuit.count, 10))
+	length += jitter(random, time.Duration(ejectionJitter*float64(length)))
+	t.circuit.count++
+	t.circuit.state, t.circuit.until = ejected, now.Add(length)
+}
+
+func jitter(random *rand.Rand, most time.Duration) time.Duration {
+	if most <= 0 {
+		return 0
+	}
+	return time.Duration(random.Int64N(int64(most)))
+}
--- a/table/heap.go
+++ b/table/heap.go
@@ -34,6 +34,12 @@
 	return h.items[0].id, h.items[0].priority, true
 }
 
+// First returns the lowest priority, or the zero value for an empty heap.
+func (h *Heap[P]) First() P {
+	_, priority, _ := h.Min()
+	return priority
+}
+
 // Put adds the row or changes its priority.
 func (h *Heap[P]) Put(id ID, priority P) {
 	h.seq++
