--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -26,26 +26,32 @@
 		s.answer(r, refusal)
 		return
 	}
-	document := policy.Next(s.View.Config, c.Document, r.Operator, tick.Now)
+	base := s.View.Config
+	if base == nil {
+		base = &policy.Document{}
+	}
+	document := policy.Next(base, c.Document, r.Operator, tick.Now)
 	document.WriteID = fmt.Sprintf("%s/%d", s.View.Self.Incarnation, tick.Seq)
 	s.configWrite = &pendingConfig{reply: r.Reply, document: document}
-	s.Out.Configs.Add(WriteConfig{Base: s.View.Config, Document: document, Revision: s.View.ConfigRevision})
+	s.Out.Configs.Add(WriteConfig{Base: base, Document: document, Revision: s.View.ConfigRevision})
 }
 
 func (s *State) checkConfig(c ApplyConfig, now time.Time) (Response, bool) {
 	current := s.View.Config
 	switch {
-	case current == nil:
-		return Response{Status: StatusUnavailable, Reason: "no-configuration", Detail: "the current configuration is not known yet"}, true
+	case !s.storeReachable(now):
+		return Response{Status: StatusUnavailable, Reason: "store-unreachable", Detail: "the store is unreachable; nothing was changed"}, true
+	case current == nil && c.Base != 0:
+		return Response{Status: StatusConflict, Reason: "no-configuration", Detail: "the site has no configuration yet; the base revision must be 0"}, true
 	case s.configWrite != nil:
 		return Response{
 			Status: StatusConflict, Reason: "config-changing",
 			Detail: fmt.Sprintf("a change by %q is being written", s.configWrite.document.Author),
 		}, true
-	case c.Base != current.Revision:
+	case current != nil && c.Base != current.Revision:
 		return configConflict(c.Base, current), true
-	case s.View.ConfigRevision == 0 || !s.storeReachable(now):
-		return Response{Status: StatusUnavailable, Reason: "store-unreachable", Detail: "the store is unreachable; nothing was changed"}, true
+	case current != nil && s.View.ConfigRevision == 0:
+		return Response{Status: StatusUnavailable, Reason: "store-behind", Detail: "the store has not shown the configuration in force yet; nothing was changed"}, true
 	}
 	live := policy.Live{Now: now, PoolSizes: s.poolSizes()}
 	if err := policy.ValidateAgainst(c.Document, live); err != nil {
@@ -89,7 +95,7 @@
 			Status: StatusConflict, Reason: "config-changed",
 			Detail: "another operator's change came first; read the configuration again to see it",
 		}
-		if current := s.View.Config; current.Revision >= e.Document.Revision && current.WriteID != e.Document.WriteID {
+		if current := s.View.Config; current != nil && current.Revision >= e.Document.Revision && current.WriteID != e.Document.WriteID {
 			response = configConflict(e.Document.Revision-1, current)
 		}
 	}
--- a/controller/operator_api.go
+++ b/controller/operator_api.go
@@ -36,6 +36,7 @@
 
 // operatorHandler returns the HTTP interface for operators.
 func (c *Controller) operatorHandler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.Use(gin.Recovery())
 	api := engine.Group("/v1")
--- a/controller/performer.go
+++ b/controller/performer.go
@@ -111,7 +111,7 @@
 func (p *performer) writeConfig(e WriteConfig) func(context.Context) Event {
 	return func(ctx context.Context) Event {
 		data, err := policy.Encode(e.Document)
-		if err == nil {
+		if err == nil && e.Base.Revision != 0 {
 			err = p.recordHistory(ctx, e.Base)
 		}
 		if err != nil {
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -33,8 +33,8 @@
 
 // ExecuteKeyed implements exchange.KeyedHandler.
 func (h keyedHandler) ExecuteKeyed(ctx context.Context, request peerapi.KeyedRequest) peerapi.KeyedResponse {
-	class, ok := routing.ParseClass(request.Class)
-	if !ok {
+	class, err := routing.ParseClass(request.Class)
+	if err != nil {
 		return peerapi.KeyedResponse{Outcome: outcome.NotRunBecause(outcome.ReasonBadRequest)}
 	}
 	result := h.gateway.traffic.ExecuteKeyed(ctx, &traffic.Submission{
--- a/peerapi/peerapi_test.go
+++ b/peerapi/peerapi_test.go
@@ -59,7 +59,7 @@
 	if got := ToKeyedResponse(&answered); !reflect.DeepEqual(got, response) {
 		t.Errorf("response %+v", got)
 	}
-	job := JobSubmission{"j", "t", "p", "long", "f", 500, 64, 1, time.Minute, true, "x", -2, "z", true}
+	job := JobSubmission{"j", "t", "p", "long", "f", 500, 64, 1, time.Minute, true, "x", -2, "z", true, true}
 	var submitted peerpb.SubmitJobRequest
 	throughWire(t, FromJobSubmission(&job), &submitted)
 	if got := ToJobSubmission(&submitted); got != job {
