--- a/standin/platform/admin.go
+++ b/standin/platform/admin.go
@@ -28,6 +28,8 @@
 	// StoreLoseAnswers breaks the connection after each write took effect.
 	StoreLoseAnswers     bool `json:"store_lose_answers"`
 	StoreLoseNextAnswers int  `json:"store_lose_next_answers"`
+	// StoreWatchesSilent keeps watches open and sends nothing on them.
+	StoreWatchesSilent bool `json:"store_watches_silent"`
 	// PlatformDown breaks the connections of the VM and task interface.
 	PlatformDown        bool     `json:"platform_down"`
 	PlatformSlowMS      int      `json:"platform_slow_ms"`
@@ -53,6 +55,7 @@
 		Slow:            time.Duration(faults.StoreSlowMS) * time.Millisecond,
 		LoseAnswers:     faults.StoreLoseAnswers,
 		LoseNextAnswers: faults.StoreLoseNextAnswers,
+		Silent:          faults.StoreWatchesSilent,
 	})
 	s.control(func(st *state, _ time.Time) { st.faults = faults })
 	return s.storeWeb.SetDown(s.running, faults.StoreDown)
--- a/standin/platform/gateway.go
+++ b/standin/platform/gateway.go
@@ -62,20 +62,23 @@
 
 func writeStoreError(w http.ResponseWriter, err error) {
 	status, code := http.StatusServiceUnavailable, etcdgateway.CodeUnavailable
+	message := err.Error()
 	switch {
 	case errors.Is(err, store.ErrUnknown):
 		// The answer is lost: the connection breaks without a status line.
 		panic(http.ErrAbortHandler)
 	case errors.Is(err, store.ErrLeaseLost):
 		status, code = http.StatusNotFound, etcdgateway.CodeNotFound
-	case errors.Is(err, store.ErrTooLarge), errors.Is(err, errInvalid):
+	case errors.Is(err, store.ErrTooLarge):
+		status, code, message = http.StatusBadRequest, etcdgateway.CodeInvalidArgument, etcdgateway.MessageTooLarge
+	case errors.Is(err, errInvalid):
 		status, code = http.StatusBadRequest, etcdgateway.CodeInvalidArgument
 	case errors.Is(err, memory.ErrRateLimited):
 		status, code = http.StatusTooManyRequests, etcdgateway.CodeResourceExhausted
 	case errors.Is(err, errUnimplemented):
 		status, code = http.StatusNotImplemented, etcdgateway.CodeUnimplemented
 	}
-	writeJSON(w, status, etcdgateway.ErrorBody{Error: err.Error(), Code: code, Message: err.Error()})
+	writeJSON(w, status, etcdgateway.ErrorBody{Error: message, Code: code, Message: message})
 }
 
 // prefixOf returns the key or prefix of a range and reports whether it is a prefix.
--- a/standin/platform/gateway_test.go
+++ b/standin/platform/gateway_test.go
@@ -120,8 +120,8 @@
 // Guards against a timed-out write that is reported as not executed.
 func TestAdapterTimeoutOfWriteIsUnknown(t *testing.T) {
 	s, m := startGateway(t)
-	m.SetFaults(memory.Faults{Slow: 300 * time.Millisecond})
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	m.SetFaults(memory.Faults{Slow: 2 * time.Second})
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
 	put := store.Put{Key: "a", WriteID: "w1"}
 	if _, err := s.CompareAndSwap(ctx, put); !errors.Is(err, store.ErrUnknown) {
@@ -196,3 +196,63 @@
 		t.Errorf("deletion arrived as %+v", event)
 	}
 }
+
+// Guards against a watch that waits for ever on a connection whose other end is gone.
+func TestAdapterEndsSilentWatch(t *testing.T) {
+	s, m := startGateway(t)
+	s.WatchSilence = 2 * time.Second
+	events, err := s.Watch(testContext(t), "shared/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 150 { // progress every 20 ms keeps it open for longer than the bound
+		nextEvent(t, events)
+	}
+	m.SetFaults(memory.Faults{Silent: true})
+	deadline := time.After(30 * time.Second)
+	for {
+		select {
+		case _, open := <-events:
+			if !open {
+				return
+			}
+		case <-deadline:
+			t.Fatal("silent watch did not end")
+		}
+	}
+}
+
+// Guards against a store behind a closed port that is taken for an unknown
+// result, and against one that does not come back.
+func TestAdapterWhileStoreIsDown(t *testing.T) {
+	server, err := Start(Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	s, err := etcdgateway.New(server.StoreURL())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	ctx := testContext(t)
+	events, err := s.Watch(ctx, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.SetFaults(Faults{StoreDown: true}); err != nil {
+		t.Fatal(err)
+	}
+	for range events { //nolint:revive // drains until the watch ends
+	}
+	put := store.Put{Key: "a", WriteID: "w1"}
+	if _, err := s.CompareAndSwap(ctx, put); !errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown) {
+		t.Errorf("write to a closed port: %v", err)
+	}
+	if err := server.SetFaults(Faults{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.CompareAndSwap(ctx, put); err != nil {
+		t.Errorf("write after the outage: %v", err)
+	}
+}
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -96,7 +96,7 @@
 	var first sync.WaitGroup
 	for _, id := range []string{"r1", "r2"} {
 		first.Go(func() {
-			if got := f.send("ms=300", id); got.status != http.StatusOK || got.attempt != "a-"+id {
+			if got := f.send("ms=2000", id); got.status != http.StatusOK || got.attempt != "a-"+id {
 				t.Errorf("%s: %+v", id, got)
 			}
 		})
@@ -144,7 +144,7 @@
 		t.Errorf("answer of another attempt: %+v", got)
 	}
 	f.must(f.SetFaults(f.ctx, "w001", Faults{NeverAnswer: true}))
-	ctx, cancel := context.WithTimeout(f.ctx, 50*time.Millisecond)
+	ctx, cancel := context.WithTimeout(f.ctx, 500*time.Millisecond)
 	defer cancel()
 	whole := f.ctx
 	f.ctx = ctx
@@ -186,7 +186,7 @@
 func TestConnectionLimit(t *testing.T) {
 	f := start(t, Options{Connections: 1})
 	busy := make(chan received, 1)
-	go func() { busy <- f.send("ms=200", "r1") }()
+	go func() { busy <- f.send("ms=2000", "r1") }()
 	f.await("request in flight", func(s Status) bool { return s.InFlight == 1 })
 	if got := f.send("", "r2"); got.refused != RefusedConnections {
 		t.Errorf("second connection: %+v", got)
--- a/store/etcdgateway/client.go
+++ b/store/etcdgateway/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -103,7 +104,7 @@
 		switch {
 		case answered.body.Code == CodeNotFound:
 			return fmt.Errorf("%w: %w", store.ErrLeaseLost, err)
-		case answered.body.Code == CodeInvalidArgument && kind == store.CallCompareAndSwap:
+		case answered.body.Code == CodeInvalidArgument && strings.Contains(answered.Error(), MessageTooLarge):
 			return fmt.Errorf("%w: %w", store.ErrTooLarge, err)
 		}
 		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
--- a/store/etcdgateway/etcdgateway.go
+++ b/store/etcdgateway/etcdgateway.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -16,9 +17,17 @@
 // watchBuffer is the number of events that are read ahead of the consumer.
 const watchBuffer = 256
 
+// DefaultWatchSilence bounds the silence of a watch. The service must be set to
+// send progress notifications several times as often; freshness of the fleet
+// view needs one a second.
+const DefaultWatchSilence = 10 * time.Second
+
 // Store implements store.Store over the gateway.
 type Store struct {
 	client *client
+	// WatchSilence ends a watch that has delivered nothing for this time, so that
+	// the caller notices a connection whose other end is gone. Set it before use.
+	WatchSilence time.Duration
 }
 
 var _ store.Store = (*Store)(nil)
@@ -33,7 +42,7 @@
 	for i, base := range baseURLs {
 		urls[i] = strings.TrimRight(base, "/")
 	}
-	return &Store{client: newClient(urls)}, nil
+	return &Store{client: newClient(urls), WatchSilence: DefaultWatchSilence}, nil
 }
 
 // Close closes idle connections. Calls in flight end with their contexts.
@@ -155,32 +164,62 @@
 // Watch implements store.Store. It reads the current values and then follows
 // the changes from the next revision on, so that none is missed in between.
 func (s *Store) Watch(ctx context.Context, prefix string) (<-chan store.Event, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	silence := time.AfterFunc(s.WatchSilence, cancel)
 	current, err := s.list(ctx, prefix)
 	if err != nil {
+		cancel()
+		return nil, err
+	}
+	response, err := s.openWatch(ctx, prefix, current.Header.Revision+1) //nolint:bodyclose // closed by the goroutine below
+	if err != nil {
+		cancel()
 		return nil, err
 	}
+	events := make(chan store.Event, watchBuffer)
+	go func() {
+		defer close(events)
+		defer cancel()
+		defer silence.Stop()
+		defer response.Body.Close()
+		stream := watchStream{decoder: json.NewDecoder(response.Body), heard: func() { silence.Reset(s.WatchSilence) }}
+		follow(ctx, current, stream, events)
+	}()
+	return events, nil
+}
+
+func (s *Store) openWatch(ctx context.Context, prefix string, from int64) (*http.Response, error) {
 	key, end := prefixRange(prefix)
 	body, err := json.Marshal(WatchRequest{Create: WatchCreateRequest{
-		Key: key, RangeEnd: end, StartRevision: current.Header.Revision + 1, ProgressNotify: true,
+		Key: key, RangeEnd: end, StartRevision: from, ProgressNotify: true,
 	}})
 	if err != nil {
 		return nil, fmt.Errorf("%w: encode request: %w", store.ErrUnavailable, err)
 	}
-	response, err := s.client.send(ctx, PathWatch, body) //nolint:bodyclose // closed by the goroutine below
+	response, err := s.client.send(ctx, PathWatch, body)
 	if err != nil {
 		s.client.preferred.Add(1)
 		return nil, classify(store.CallWatch, err)
 	}
-	events := make(chan store.Event, watchBuffer)
-	go func() {
-		defer close(events)
-		defer response.Body.Close()
-		follow(ctx, current, json.NewDecoder(response.Body), events)
-	}()
-	return events, nil
+	return response, nil
+}
+
+// watchStream reads messages and reports each of them to heard.
+type watchStream struct {
+	decoder *json.Decoder
+	heard   func()
+}
+
+func (w watchStream) next() (*WatchResponse, bool) {
+	var message WatchStreamMessage
+	if err := w.decoder.Decode(&message); err != nil || message.Error != nil || message.Result == nil {
+		return nil, false
+	}
+	w.heard()
+	return message.Result, !message.Result.Canceled
 }
 
-func follow(ctx context.Context, current RangeResponse, stream *json.Decoder, events chan<- store.Event) {
+func follow(ctx context.Context, current RangeResponse, stream watchStream, events chan<- store.Event) {
 	for i := range current.KVs {
 		if !deliver(ctx, events, store.Event{Value: valueOf(current.KVs[i])}) {
 			return
@@ -190,11 +229,8 @@
 		return
 	}
 	for {
-		var message WatchStreamMessage
-		if err := stream.Decode(&message); err != nil || message.Error != nil || message.Result == nil {
-			return
-		}
-		if message.Result.Canceled || !deliverMessage(ctx, events, message.Result) {
+		message, ok := stream.next()
+		if !ok || !deliverMessage(ctx, events, message) {
 			return
 		}
 	}
--- a/store/etcdgateway/messages.go
+++ b/store/etcdgateway/messages.go
@@ -30,6 +30,9 @@
 	CodeUnauthenticated    = 16
 )
 
+// MessageTooLarge is the service's message about a value above its limit.
+const MessageTooLarge = "etcdserver: request is too large"
+
 // Header is part of every answer. The gateway writes 64-bit integers as strings
 // and leaves out fields that are zero.
 type Header struct {
--- a/store/lease_test.go
+++ b/store/lease_test.go
@@ -109,6 +109,59 @@
 	}
 }
 
+// pausingStore stops the process, as far as its clock tells, during a renewal.
+type pausingStore struct {
+	store.Store
+	clock *fakeClock
+	pause time.Duration
+}
+
+func (p pausingStore) RenewLease(ctx context.Context, lease store.LeaseID) (time.Duration, error) {
+	ttl, err := p.Store.RenewLease(ctx, lease)
+	p.clock.advance(p.pause)
+	return ttl, err
+}
+
+// Guards against a lease that comes back after others have seen it lapse.
+func TestProcessLeaseLapsesDuringRenewal(t *testing.T) {
+	f := newLeaseFixture(t)
+	lost := 0
+	lease := store.NewProcessLease(pausingStore{f.memory, &f.clock, leaseTTL}, store.ProcessLeaseOptions{
+		TTL: leaseTTL, Now: f.clock.now, OnLost: func(store.LeaseID) { lost++ },
+	})
+	ctx := context.Background()
+	lease.Step(ctx)
+	lease.Step(ctx)
+	if lease.Lease() != 0 || lost != 1 {
+		t.Errorf("lease %d after the pause, %d losses", lease.Lease(), lost)
+	}
+}
+
+// Guards against a Run that spins, or that renews after its context has ended.
+func TestProcessLeaseRunRenewsWithoutSpinning(t *testing.T) {
+	m := memory.New(memory.Options{})
+	defer m.Close()
+	lease := store.NewProcessLease(m, store.ProcessLeaseOptions{TTL: 900 * time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	started := time.Now()
+	go func() { defer close(stopped); lease.Run(ctx) }()
+	for m.Counter().Get(store.CallRenewLease) < 3 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	cancel()
+	<-stopped
+	// Even failed steps are 50 ms apart and make at most two calls each.
+	most := 2 * (int64(time.Since(started)/(50*time.Millisecond)) + 1)
+	if calls := m.Counter().Total(); calls > most {
+		t.Errorf("%d calls, at most %d expected", calls, most)
+	}
+	lease.Release(context.Background())
+	if lease.Lease() != 0 || m.Counter().Get(store.CallRevokeLease) != 1 {
+		t.Error("lease was not released")
+	}
+}
+
 // Guards against writes that use up the tokens kept for lease renewals.
 func TestBudgetKeepsReserveForLeases(t *testing.T) {
 	var clock fakeClock
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -52,6 +52,9 @@
 	LoseAnswers bool
 	// LoseNextAnswers does the same for this number of writes.
 	LoseNextAnswers int
+	// Silent holds back changes and progress notifications of watches, as a
+	// connection does whose other end is gone. Changes held back are lost.
+	Silent bool
 }
 
 // KV is a value with the fields that only the stand-in of the service needs.
--- a/store/memory/memory_test.go
+++ b/store/memory/memory_test.go
@@ -128,6 +128,24 @@
 	}
 }
 
+// Guards against leases that all lapse at once when the store returns.
+func TestLeasesStartAnewAfterOutage(t *testing.T) {
+	clock := &fakeClock{}
+	s := start(t, Options{Now: clock.now})
+	ctx := context.Background()
+	lease, err := s.GrantLease(ctx, 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.SetFaults(Faults{Down: true})
+	clock.advance(time.Hour)
+	s.SetFaults(Faults{})
+	clock.advance(9 * time.Second)
+	if _, err := s.RenewLease(ctx, lease); err != nil {
+		t.Errorf("renewal after the outage: %v", err)
+	}
+}
+
 // Guards against changes that a resumed watch misses or sees twice.
 func TestWatchDeliversAndResumes(t *testing.T) {
 	clock := &fakeClock{}
@@ -186,7 +204,7 @@
 	clock := &fakeClock{}
 	s := start(t, Options{Now: clock.now})
 	s.SetFaults(Faults{Slow: time.Second})
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
 	if _, err := s.CompareAndSwap(ctx, store.Put{Key: "a", WriteID: "w1"}); !errors.Is(err, store.ErrUnknown) {
 		t.Fatalf("write without answer: %v, want unknown", err)
--- a/store/memory/state.go
+++ b/store/memory/state.go
@@ -183,6 +183,9 @@
 }
 
 func (s *state) send(id table.ID, watch *watchRow, event store.Event) {
+	if s.faults.Silent {
+		return
+	}
 	select {
 	case watch.events <- event:
 	default:
