--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -260,6 +260,16 @@
 	if _, err := s.Get(f.ctx, "a"); err != nil {
 		t.Errorf("store after its return: %v", err)
 	}
+	f.must(f.SetFaults(Faults{PlatformDown: true}))
+	if _, err := f.client.ListWorkers(f.ctx); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("platform that is down: %v", err)
+	}
+	f.must(f.SetFaults(Faults{PlatformSlowMS: 60_000}))
+	short, cancel := context.WithTimeout(f.ctx, 100*time.Millisecond)
+	defer cancel()
+	if _, err := f.client.ListWorkers(short); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("slow platform: %v", err)
+	}
 	if calls := f.Calls(); calls.Platform["reboot"] != 1 || calls.Store["get"] == 0 {
 		t.Errorf("calls %+v", calls)
 	}
