--- a/store/budgeted.go
+++ b/store/budgeted.go
@@ -19,8 +19,9 @@
 	LeaseReserve float64
 }
 
-// DefaultBudget keeps 14 processes (8 gateways, 6 controllers) below 300 writes
-// and 700 reads a second, inside the service's several hundred writes and 2000 reads.
+// DefaultBudget keeps 16 processes (a gateway and a controller on each of 8 entry
+// VMs) at 320 writes and 800 reads a second, inside the service's several hundred
+// writes and 2000 reads.
 var DefaultBudget = Budget{ReadsPerSecond: 50, ReadBurst: 50, WritesPerSecond: 20, WriteBurst: 20, LeaseReserve: 4}
 
 // Budgeted is a Store that limits and counts the calls of a process. A call
