--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -221,7 +221,7 @@
 	receive := func(sequence, base uint64, requests uint32) (uint32, uint64) {
 		s.inbox = []Received{{Message: Message{
 			Sender: Member{Incarnation: "b", Address: "b:1"}, Receiver: "a", Sequence: sequence, Base: base,
-			Demand: Delta[uint32]{Set: []Entry[uint32]{{"p", requests}}},
+			Demand: Delta[uint32]{Set: []Entry[uint32]{{Name: "p", Value: requests}}},
 		}}}
 		id := s.merge(&s.inbox[0], start)
 		value, _ := s.Demand.Get(id, "p")
@@ -350,3 +350,32 @@
 		t.Errorf("50 deadlines within %v", elapsed)
 	}
 }
+
+// Guards against a silent process that is forgotten while the store lists it, or
+// kept for ever after, and against wrong answers about homes and the controller.
+func TestListedPeersAndAnswers(t *testing.T) {
+	n, c := mesh(1)
+	c.SetActive(true)
+	n.run(2 * time.Second)
+	g := n.nodes["g00:1"]
+	if _, active := g.ActiveController(); active == nil || active.Incarnation != "c" {
+		t.Error("the active controller is not known")
+	}
+	g.SetRevision(DocumentHomes, 2, n.now)
+	n.run(1500 * time.Millisecond)
+	if !c.HomesAcknowledged(2, []string{"g00"}) || c.HomesAcknowledged(2, []string{"g00", "c"}) || c.HomesAcknowledged(1, []string{"unknown"}) {
+		t.Error("wrong answer about the acknowledged homes")
+	}
+	id, _ := c.Find("g00")
+	c.SetMembers([]Member{{Incarnation: "g00", Role: Gateway, Address: "g00:1"}}, n.now)
+	n.cut = func(string, string) bool { return true }
+	n.run(RemoveAfter + SuspectAfter)
+	if c.Peers.Get(id) == nil || c.Alive(id) {
+		t.Error("a listed silent gateway must be kept and not count as alive")
+	}
+	c.SetMembers(nil, n.now)
+	n.run(time.Second)
+	if c.Peers.Get(id) != nil {
+		t.Error("a silent gateway was kept although the store no longer lists it")
+	}
+}
--- a/membership/replica.go
+++ b/membership/replica.go
@@ -9,10 +9,11 @@
 
 // Replica holds the values that peers told, one row per peer and name.
 type Replica[V any] struct {
-	rows   table.Table[ReplicaRow[V]]
-	byKey  table.Index[replicaKey]
-	byPeer table.MultiIndex[table.ID]
-	byName table.MultiIndex[string]
+	rows     table.Table[ReplicaRow[V]]
+	byKey    table.Index[replicaKey]
+	byNumber table.Index[numberKey]
+	byPeer   table.MultiIndex[table.ID]
+	byName   table.MultiIndex[string]
 }
 
 // ReplicaRow is one value that one peer told.
@@ -20,6 +21,13 @@
 	Peer  table.ID
 	Name  string
 	Value V
+
+	number uint32
+}
+
+type numberKey struct {
+	peer   table.ID
+	number uint32
 }
 
 type replicaKey struct {
@@ -68,19 +76,37 @@
 	for _, entry := range delta.Set {
 		r.put(peer, entry)
 	}
-	for _, name := range delta.Removed {
-		r.remove(peer, name)
+	for _, removal := range delta.Removed {
+		r.remove(peer, r.resolve(peer, removal.Name, removal.Number))
 	}
 }
 
+// resolve returns the name of an entry that may carry its number only.
+func (r *Replica[V]) resolve(peer table.ID, name string, number uint32) string {
+	if name != "" || number == 0 {
+		return name
+	}
+	if id, ok := r.byNumber.Get(numberKey{peer, number}); ok {
+		return r.rows.Get(id).Name
+	}
+	return ""
+}
+
 func (r *Replica[V]) put(peer table.ID, entry Entry[V]) {
-	key := replicaKey{peer, entry.Name}
+	name := r.resolve(peer, entry.Name, entry.Number)
+	if name == "" {
+		return
+	}
+	key := replicaKey{peer, name}
 	if id, ok := r.byKey.Get(key); ok {
 		r.rows.Get(id).Value = entry.Value
 		return
 	}
-	id := r.rows.Insert(ReplicaRow[V]{peer, entry.Name, entry.Value})
+	id := r.rows.Insert(ReplicaRow[V]{peer, name, entry.Value, entry.Number})
 	r.byKey.Put(key, id)
+	if entry.Number > 0 {
+		r.byNumber.Put(numberKey{peer, entry.Number}, id)
+	}
 	r.byPeer.Add(peer, id)
 	r.byName.Add(entry.Name, id)
 }
@@ -92,6 +118,7 @@
 		return
 	}
 	r.byKey.Delete(key)
+	r.byNumber.Delete(numberKey{peer, r.rows.Get(id).number})
 	r.byPeer.Remove(peer, id)
 	r.byName.Remove(name, id)
 	r.rows.Delete(id)
--- a/membership/state.go
+++ b/membership/state.go
@@ -91,7 +91,7 @@
 
 // New returns the state of a process that knows no peer.
 func New(options Options) *State {
-	s := &State{self: options.Self}
+	s := &State{self: options.Self, demand: versioned[uint32]{numbered: true}}
 	for _, address := range options.Seeds {
 		if address != options.Self.Address {
 			s.seeds = append(s.seeds, seed{address: address})
@@ -213,7 +213,9 @@
 	if id, ok := s.byIncarnation.Get(member.Incarnation); ok {
 		return id
 	}
-	id := s.Peers.Insert(Peer{Member: member, LastHeard: now, confirmed: now, nextContact: now})
+	id := s.Peers.Insert(Peer{
+		Member: member, LastHeard: now, confirmed: now, nextContact: now, grants: versioned[uint32]{numbered: true},
+	})
 	s.byIncarnation.Put(member.Incarnation, id)
 	s.byAddress.Add(member.Address, id)
 	return id
--- a/membership/types.go
+++ b/membership/types.go
@@ -101,17 +101,26 @@
 	ConfigRevision uint64 // zero while every process hears all others itself
 }
 
-// Entry is a named value of a message.
+// Entry is a named value of a message. Demand and grants are numbered by their
+// sender: an entry whose name the receiver already holds carries the number
+// only, because names are most of the bytes of a busy exchange.
 type Entry[V any] struct {
-	Name  string
-	Value V
+	Name   string // empty if the receiver knows it by the number
+	Number uint32 // zero if the set is not numbered
+	Value  V
+}
+
+// Removal names an entry that no longer exists, by its number if it has one.
+type Removal struct {
+	Name   string
+	Number uint32
 }
 
 // Delta holds the entries that changed since the base of a message, or all
 // entries if the base is zero.
 type Delta[V any] struct {
 	Set     []Entry[V]
-	Removed []string
+	Removed []Removal
 }
 
 // Message is the state that one process tells another.
--- a/peerapi/peerapi_test.go
+++ b/peerapi/peerapi_test.go
@@ -18,12 +18,12 @@
 		Sender:   membership.Member{Incarnation: "a", Role: membership.Gateway, Address: "127.0.0.1:1", AvailabilityZone: "z", CallerAddress: "127.0.0.1:2", Active: true},
 		Receiver: "b", Sequence: 9, Acknowledged: 8, Base: 7, Revisions: membership.Revisions{3, 4, 5}, FleetEpoch: 6,
 		FleetConfirmed: true, FleetAge: 250 * time.Millisecond,
-		Demand:  membership.Delta[uint32]{Set: []membership.Entry[uint32]{{Name: "p", Value: 4}}, Removed: []string{"q"}},
-		Leaving: membership.Delta[struct{}]{Set: []membership.Entry[struct{}]{{Name: "w1"}}, Removed: []string{"w2"}},
-		Grants:  membership.Delta[uint32]{Set: []membership.Entry[uint32]{{Name: "w3", Value: 8}}, Removed: []string{"w4"}},
+		Demand:  membership.Delta[uint32]{Set: []membership.Entry[uint32]{{Name: "p", Number: 3, Value: 4}, {Number: 2, Value: 300}}, Removed: []membership.Removal{{Number: 1}}},
+		Leaving: membership.Delta[struct{}]{Set: []membership.Entry[struct{}]{{Name: "w1"}}, Removed: []membership.Removal{{Name: "w2"}}},
+		Grants:  membership.Delta[uint32]{Set: []membership.Entry[uint32]{{Name: "w3", Number: 1, Value: 8}}, Removed: []membership.Removal{{Name: "w4", Number: 9}}},
 		Members: membership.Delta[membership.Told]{
 			Set:     []membership.Entry[membership.Told]{{Name: "c", Value: membership.Told{Member: membership.Member{Incarnation: "c", Role: membership.Controller}, ConfigRevision: 2}}},
-			Removed: []string{"d"},
+			Removed: []membership.Removal{{Name: "d"}},
 		},
 	}
 }
--- a/peerapi/state.go
+++ b/peerapi/state.go
@@ -28,12 +28,12 @@
 	for _, entry := range message.Leaving.Set {
 		state.LeavingWorkers = append(state.LeavingWorkers, entry.Name)
 	}
-	state.ReturnedWorkers = message.Leaving.Removed
-	fromNumbers(message.Demand, func(pool string, requests uint32) {
-		state.Demand = append(state.Demand, &peerpb.PoolDemand{Pool: pool, Requests: requests})
+	state.ReturnedWorkers = fromRemovals(message.Leaving.Removed)
+	state.DemandNumbers, state.DemandRequests = fromNumbers(message.Demand, func(entry membership.Entry[uint32]) {
+		state.Demand = append(state.Demand, &peerpb.PoolDemand{Pool: entry.Name, Number: entry.Number, Requests: entry.Value})
 	})
-	fromNumbers(message.Grants, func(worker string, slots uint32) {
-		state.Grants = append(state.Grants, &peerpb.SlotGrant{Worker: worker, Slots: slots})
+	state.GrantNumbers, state.GrantSlots = fromNumbers(message.Grants, func(entry membership.Entry[uint32]) {
+		state.Grants = append(state.Grants, &peerpb.SlotGrant{Worker: entry.Name, Number: entry.Number, Slots: entry.Value})
 	})
 	for i := range message.Members.Set {
 		told := &message.Members.Set[i].Value
@@ -41,7 +41,7 @@
 		member.ConfigRevision = told.ConfigRevision
 		state.Members = append(state.Members, member)
 	}
-	state.DepartedMembers = message.Members.Removed
+	state.DepartedMembers = fromRemovals(message.Members.Removed)
 	return state
 }
 
@@ -66,37 +66,71 @@
 	for _, worker := range state.GetLeavingWorkers() {
 		message.Leaving.Set = append(message.Leaving.Set, membership.Entry[struct{}]{Name: worker})
 	}
-	message.Leaving.Removed = state.GetReturnedWorkers()
+	message.Leaving.Removed = toRemovals(state.GetReturnedWorkers())
 	for _, demand := range state.GetDemand() {
-		toNumber(&message.Demand, demand.GetPool(), demand.GetRequests())
+		toNumber(&message.Demand, demand.GetPool(), demand.GetNumber(), demand.GetRequests())
 	}
+	toNumbers(&message.Demand, state.GetDemandNumbers(), state.GetDemandRequests())
 	for _, grant := range state.GetGrants() {
-		toNumber(&message.Grants, grant.GetWorker(), grant.GetSlots())
+		toNumber(&message.Grants, grant.GetWorker(), grant.GetNumber(), grant.GetSlots())
 	}
+	toNumbers(&message.Grants, state.GetGrantNumbers(), state.GetGrantSlots())
 	for _, member := range state.GetMembers() {
 		told := membership.Told{Member: toMember(member), ConfigRevision: member.GetConfigRevision()}
 		message.Members.Set = append(message.Members.Set, membership.Entry[membership.Told]{Name: told.Member.Incarnation, Value: told})
 	}
-	message.Members.Removed = state.GetDepartedMembers()
+	message.Members.Removed = toRemovals(state.GetDepartedMembers())
 	return message
 }
 
-// fromNumbers emits the entries of a delta; a removed one has the value zero.
-func fromNumbers(delta membership.Delta[uint32], emit func(string, uint32)) {
+// fromNumbers returns the entries that the receiver knows by number, and emits
+// the others. A removed entry has the value zero.
+func fromNumbers(delta membership.Delta[uint32], emit func(membership.Entry[uint32])) (numbers, values []uint32) {
 	for _, entry := range delta.Set {
-		emit(entry.Name, entry.Value)
-	}
-	for _, name := range delta.Removed {
-		emit(name, 0)
-	}
+		if entry.Name != "" {
+			emit(entry)
+			continue
+		}
+		numbers, values = append(numbers, entry.Number), append(values, entry.Value)
+	}
+	for _, removal := range delta.Removed {
+		if removal.Name != "" {
+			emit(membership.Entry[uint32]{Name: removal.Name, Number: removal.Number})
+			continue
+		}
+		numbers, values = append(numbers, removal.Number), append(values, 0)
+	}
+	return numbers, values
 }
 
-func toNumber(delta *membership.Delta[uint32], name string, value uint32) {
+func toNumber(delta *membership.Delta[uint32], name string, number, value uint32) {
 	if value == 0 {
-		delta.Removed = append(delta.Removed, name)
+		delta.Removed = append(delta.Removed, membership.Removal{Name: name, Number: number})
 		return
 	}
-	delta.Set = append(delta.Set, membership.Entry[uint32]{Name: name, Value: value})
+	delta.Set = append(delta.Set, membership.Entry[uint32]{Name: name, Number: number, Value: value})
+}
+
+func toNumbers(delta *membership.Delta[uint32], numbers, values []uint32) {
+	for i := range min(len(numbers), len(values)) {
+		toNumber(delta, "", numbers[i], values[i])
+	}
+}
+
+func fromRemovals(removals []membership.Removal) []string {
+	var names []string
+	for _, removal := range removals {
+		names = append(names, removal.Name)
+	}
+	return names
+}
+
+func toRemovals(names []string) []membership.Removal {
+	var removals []membership.Removal
+	for _, name := range names {
+		removals = append(removals, membership.Removal{Name: name})
+	}
+	return removals
 }
 
 func fromMember(member *membership.Member) *peerpb.Member {
