--- a/measure/machines.go
+++ b/measure/machines.go
@@ -28,6 +28,7 @@
 	fleet.Observation
 	nextAt   time.Time // end of the drain, reboot or repair in progress
 	executed map[string]bool
+	gone     bool // taken away by the platform
 }
 
 // machines is the fake platform: it executes calls by operation ID once, takes
@@ -78,7 +79,9 @@
 	switch {
 	case c.Kind == fleet.CallDrain && m.Status == fleet.StatusLive:
 		m.Status, m.nextAt = fleet.StatusDraining, now.Add(drainLeast+p.spread(m, "drain", drainSpread))
-	case c.Kind == fleet.CallReboot && m.Status == fleet.StatusDraining:
+	case c.Kind == fleet.CallReboot && m.Status != fleet.StatusDown:
+		// The fake does not protect a worker that is in service, so that a reboot
+		// sent too early is seen.
 		if m.Requests > 0 || m.Tasks > 0 {
 			p.cutOff++
 		}
@@ -102,7 +105,7 @@
 func (p *machines) advance(now time.Time) {
 	for _, id := range p.order {
 		m := p.byID[id]
-		if m.Status == fleet.StatusLive || now.Before(m.nextAt) {
+		if m.gone || m.Status == fleet.StatusLive || now.Before(m.nextAt) {
 			continue
 		}
 		switch m.Status {
@@ -110,6 +113,8 @@
 			m.Requests, m.Tasks = 0, 0
 		case fleet.StatusRebooting:
 			p.endReboot(m, now)
+		case fleet.StatusLeaving:
+			m.gone = true
 		case fleet.StatusDown:
 			m.BootID++
 			m.live()
@@ -133,10 +138,22 @@
 	m.Status, m.nextAt, m.Requests, m.Tasks = fleet.StatusDown, now.Add(repairTime), 0, 0
 }
 
+// ask answers a direct question about a worker, nil if it does not exist.
+func (p *machines) ask(worker string) *fleet.Observation {
+	m := p.byID[worker]
+	if m.gone {
+		return nil
+	}
+	observed := m.Observation
+	return &observed
+}
+
 func (p *machines) publish(now time.Time) {
 	p.list = slices.Grow(p.list[:0], len(p.order))
 	for _, id := range p.order {
-		p.list = append(p.list, p.byID[id].Observation)
+		if m := p.byID[id]; !m.gone {
+			p.list = append(p.list, m.Observation)
+		}
 	}
 	p.listedAt = now
 }
--- a/measure/site.go
+++ b/measure/site.go
@@ -40,9 +40,10 @@
 	haltedAt  time.Time
 	rejected  map[string]rejection
 	// allowed and call can be replaced by tests that inject faults.
-	allowed bool
-	call    func(fleet.Call) error
-	result  Result
+	allowed   bool
+	call      func(fleet.Call) error
+	unsettled map[string]time.Time // per worker, until when a call may still take effect
+	result    Result
 }
 
 // rejection is a call that the platform refused in a state of a worker.
@@ -55,6 +56,7 @@
 	v := &site{
 		now: epoch, started: epoch, tables: fleet.Load(&l.document), effective: l.effective, strategy: s,
 		platform: newMachines(&l.document, seed, badRack), demand: newDemand(l, seed), rejected: map[string]rejection{}, allowed: true,
+		unsettled: map[string]time.Time{},
 	}
 	v.call = func(c fleet.Call) error { return v.platform.call(c, v.now) }
 	v.reserve = budget.JointBuffer(v.tables, v.effective, v.demand.history()).Required
@@ -82,8 +84,9 @@
 func (s *site) reconcile() {
 	reconciliation := s.tables.Reconcile(s.platform.list, s.now)
 	for _, id := range reconciliation.Verify {
-		observed := s.platform.byID[id].Observation
-		s.tables.Observe(&observed, s.now)
+		if observed := s.platform.ask(id); observed != nil {
+			s.tables.Observe(observed, s.now)
+		}
 	}
 }
 
@@ -117,8 +120,8 @@
 	for _, operation := range s.tables.Operations.All() {
 		row := s.tables.Workers.Get(operation.Worker)
 		snapshot := s.tables.Snapshot(row, s.now)
-		observed := s.platform.byID[row.ID].Observation
-		snapshot.Observed = &observed
+		snapshot.Observed = s.platform.ask(row.ID)
+		snapshot.CallUnsettled = s.now.Before(s.unsettled[row.ID])
 		snapshot.GatewaysAcknowledged = s.now.Sub(row.Since) >= acknowledge
 		snapshot.DisruptionAllowed, snapshot.CallAllowed = s.allowed, s.allowed
 		if r := s.rejected[row.ID]; r.state == row.State {
