Wait for gateways whose view only the VM list keeps fresh

Cause: a gateway that is cut off from store and peers but reads the platform's list may send to a draining worker after its right to send counts as lapsed; a request in transit could meet the reboot.

--- a/controller/operations.go
+++ b/controller/operations.go
@@ -75,6 +75,7 @@
 	snapshot.CallAllowed = s.callAllowed(tick.Now)
 	snapshot.CallUnsettled = tick.Now.Before(o.unsettled) || tick.Now.Before(s.Lead.quietUntil)
 	snapshot.Rejected = o.rejected
+	snapshot.LaggardsMaySend = s.laggardsMaySend(o, operation, tick)
 	step := fleet.NextStep(&snapshot)
 	s.takeStep(row.ID, o, step, operation.Operation, tick)
 }
@@ -112,6 +113,19 @@
 	}
 }
 
+// laggardsMaySend reports whether a gateway that never reported the start
+// revision may still send to the worker because the platform's list keeps its
+// view fresh. The list shows the drain after at most its lag and a poll.
+func (s *State) laggardsMaySend(o *observation, operation *fleet.OperationRow, tick engine.Tick) bool {
+	if o.answer == nil || o.answer.Status != fleet.StatusDraining {
+		return false
+	}
+	if o.drainSeen.IsZero() {
+		o.drainSeen = tick.Now
+	}
+	return tick.Now.Sub(o.drainSeen) < laggardWait && !s.Peers.Reported(operation.StartRevision)
+}
+
 // reportSlowDrain logs a drain that takes longer than the policy expects. There
 // is no deadline after which requests are cut off.
 func (s *State) reportSlowDrain(worker string, o *observation, tick engine.Tick) {
--- a/controller/state.go
+++ b/controller/state.go
@@ -30,6 +30,9 @@
 	// takeoverQuiet is how long a new active controller waits before it calls the
 	// platform: its predecessor's lease and its longest call.
 	takeoverQuiet = node.ControllerLeaseTTL + callTimeout
+	// laggardWait is how long a drained worker waits for gateways that did not
+	// report the drain: the lag of the VM list, then the vouch period with its margin.
+	laggardWait = fleet.ListLag + membership.VouchPeriod + membership.VouchMargin
 	// observeInterval is the pause between two direct questions about a worker
 	// with an operation.
 	observeInterval = 500 * time.Millisecond
@@ -86,6 +89,7 @@
 	callInFlight bool
 	callKind     fleet.CallKind
 	unsettled    time.Time // a call without an answer may take effect until then
+	drainSeen    time.Time // first answer that showed the worker draining
 	rejected     fleet.CallKind
 	rejectedIn   fleet.State
 	reason       fleet.Reason // of the last wait
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -33,6 +33,9 @@
 	// effect, or that the predecessor's last call may. Returning a worker to
 	// service now could let a late reboot cut off its new requests.
 	CallUnsettled bool
+	// LaggardsMaySend reports that a gateway that did not acknowledge the start
+	// revision may still send requests. The worker must not stop while one is in transit.
+	LaggardsMaySend bool
 	// Rejected is the call that the platform refused for good in the current
 	// state, empty without one.
 	Rejected CallKind
@@ -171,6 +174,9 @@
 	if reason, busy := inFlight(s.Observed); busy {
 		return wait(reason)
 	}
+	if s.LaggardsMaySend {
+		return wait(ReasonAcknowledgement)
+	}
 	return commit(Drained, ReasonAdvanced)
 }
 
--- a/membership/answers.go
+++ b/membership/answers.go
@@ -37,6 +37,17 @@
 	return waiting
 }
 
+// Reported reports whether every gateway that may be alive has reported the
+// revision itself. A lapsed right to send does not count.
+func (s *State) Reported(revision uint64) bool {
+	for _, peer := range s.Peers.All() {
+		if peer.Role == Gateway && !peer.Replaced && peer.Revisions[DocumentFleet] < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // knownSince returns when the fleet revision became known here, or nil if it
 // has not.
 func (s *State) knownSince(revision uint64) *time.Time {
