Report controller metrics and record the first decisions

Cause: operators had no figures of pools, jobs and budgets; the reasons behind store layout, outbox, vouching and idempotency keys stood nowhere.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,15 @@
 
 format:
 	$(LINT) fmt
+
+generate: ## needs buf v1.75.0, protoc-gen-go v1.36.12, protoc-gen-go-drpc v1.1.0
+	buf generate
+
+bench: ## benchmarks; they print ratios and are not part of the verdict
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+measure: ## roll-out, buffer cost and moves against the baselines
+	$(GO) run ./measure/cmd
+
+capacity: ## the table of docs/CAPACITY.md
+	$(GO) run ./measure/capacity
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -35,6 +35,7 @@
 	loop      *engine.Loop[State, Event]
 	performer *performer
 	exchange  *exchange.Exchange
+	reporter  reporter
 	published atomic.Pointer[published]
 	stopped   chan struct{}
 	stopOnce  sync.Once
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Controller{process: process, stopped: make(chan struct{})}
+	c := &Controller{process: process, stopped: make(chan struct{}), reporter: reporter{scope: process.Metrics.Scope}}
 	c.published.Store(&published{ready: "starting"})
 	state := NewState(node.NewView(string(s.Site), process.Identity), membership.New(membership.Options{
 		Self: process.Identity.Member(), Seeds: settings.Strings(s.Peers),
@@ -113,6 +114,7 @@
 // flush hands out the effects of a tick and publishes what I/O may know.
 func (c *Controller) flush(s *State, tick engine.Tick) {
 	c.performer.flush(s, tick)
+	c.reporter.report(s, tick)
 	node.PublishDocuments(s.View, c.exchange)
 	c.exchange.Flush(s.Peers)
 	s.View.Logs.Drain(c.process.Log.Write)
