--- a/placement/commit.go
+++ b/placement/commit.go
@@ -75,23 +75,29 @@
 // snapshot copies the durable state of a page, so that I/O can encode it later.
 func (s *State) snapshot(index int) Page {
 	ids := s.jobsByPage.Get(index)
-	page := Page{Index: index, Epoch: s.epoch, Jobs: make([]JobRecord, 0, len(ids))}
-	for _, id := range ids {
-		page.Jobs = append(page.Jobs, s.record(s.jobs.Get(id)))
+	page := Page{Index: index, Epoch: s.epoch, Jobs: make([]*JobRecord, len(ids))}
+	for i, id := range ids {
+		job := s.jobs.Get(id)
+		if job.record == nil {
+			job.record = s.makeRecord(job)
+		}
+		page.Jobs[i] = job.record
 	}
 	return page
 }
 
-func (s *State) record(job *Job) JobRecord {
-	r := JobRecord{
+func (s *State) makeRecord(job *Job) *JobRecord {
+	r := &JobRecord{
 		Spec: job.Spec, State: job.State, Reason: job.Reason, Detail: job.Detail,
 		SubmittedAt: job.SubmittedAt, FinishedAt: job.FinishedAt, Attempts: job.Attempts,
 		FailedOn: slices.Clone(job.FailedOn), Failures: job.Failures, Cancelling: job.Cancelling, Resume: job.Resume, Peak: job.Peak, Ran: job.Ran,
 	}
 	if a := s.attempts.Get(job.attempt); a != nil {
+		reserved := a.Reserved
+		reserved.MilliCores = a.fullCores // a throttle is not durable; the next task list shows it
 		r.Attempt = &AttemptRecord{
 			Operation: a.Operation, Worker: a.Worker, Status: a.Status, Resume: a.Resume,
-			Reserved: a.Reserved, CreatedAt: a.CreatedAt, StartedAt: a.StartedAt,
+			Reserved: reserved, CreatedAt: a.CreatedAt, StartedAt: a.StartedAt,
 		}
 	}
 	return r
--- a/placement/job.go
+++ b/placement/job.go
@@ -148,8 +148,9 @@
 
 	attempt      table.ID
 	page         int
-	submitted    uint64 // page sequence of the submission; zero if read from a page
-	order        uint64 // submission order within this process
+	record       *JobRecord // as of the last change, nil if not yet made
+	submitted    uint64     // page sequence of the submission; zero if read from a page
+	order        uint64     // submission order within this process
 	preemptUntil time.Time
 }
 
@@ -188,6 +189,7 @@
 	peak            Resources
 	reports         int
 	sentAt          time.Time
+	listedAt        time.Time // observation time of the newest list with the operation
 	seenAt          time.Time // observation time of the last report that showed it
 	absentAt        time.Time // observation time of the last report without it
 	absentSince     time.Time
--- a/placement/page.go
+++ b/placement/page.go
@@ -30,10 +30,11 @@
 type Page struct {
 	Index int
 	Epoch uint64 // of the controller that wrote it
-	Jobs  []JobRecord
+	Jobs  []*JobRecord
 }
 
-// JobRecord is the durable part of a job.
+// JobRecord is the durable part of a job. It is immutable: pages share the
+// records of jobs that did not change between them.
 type JobRecord struct {
 	Spec        Spec
 	State       JobState
--- a/placement/pagecodec/pagecodec.go
+++ b/placement/pagecodec/pagecodec.go
@@ -3,7 +3,6 @@
 package pagecodec
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -20,6 +19,13 @@
 	Jobs  []job  `json:"jobs"`
 }
 
+// Encoder encodes pages and keeps the encoded form of each job, because a write
+// changes few of the jobs of its page. Records are immutable, so their address
+// identifies their content. The zero value is ready; one goroutine may use it.
+type Encoder struct {
+	jobs [placement.PageCount]map[*placement.JobRecord][]byte
+}
+
 type job struct {
 	ID             string              `json:"id"`
 	Tenant         string              `json:"tenant"`
@@ -60,21 +66,28 @@
 }
 
 // Encode returns the JSON form of a page.
-func Encode(p placement.Page) ([]byte, error) {
-	out := page{Index: p.Index, Epoch: p.Epoch, Jobs: make([]job, len(p.Jobs))}
-	for i := range p.Jobs {
-		out.Jobs[i] = fromRecord(&p.Jobs[i])
-	}
-	var buffer bytes.Buffer
-	encoder := json.NewEncoder(&buffer)
-	encoder.SetEscapeHTML(false)
-	if err := encoder.Encode(&out); err != nil {
-		return nil, fmt.Errorf("encode job page %d: %w", p.Index, err)
+func (e *Encoder) Encode(p placement.Page) ([]byte, error) {
+	kept := make(map[*placement.JobRecord][]byte, len(p.Jobs))
+	out := fmt.Appendf(nil, `{"index":%d,"epoch":%d,"jobs":[`, p.Index, p.Epoch)
+	for i, record := range p.Jobs {
+		data, ok := e.jobs[p.Index][record]
+		if !ok {
+			var err error
+			if data, err = json.Marshal(fromRecord(record)); err != nil {
+				return nil, fmt.Errorf("encode job page %d: %w", p.Index, err)
+			}
+		}
+		kept[record] = data
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = append(out, data...)
 	}
-	if buffer.Len() > maxBytes {
-		return nil, fmt.Errorf("encode job page %d: %d bytes, at most %d are accepted", p.Index, buffer.Len(), maxBytes)
+	e.jobs[p.Index] = kept
+	if out = append(out, "]}"...); len(out) > maxBytes {
+		return nil, fmt.Errorf("encode job page %d: %d bytes, at most %d are accepted", p.Index, len(out), maxBytes)
 	}
-	return buffer.Bytes(), nil
+	return out, nil
 }
 
 // Decode parses a page. Index is the one of the key; a page that names another
@@ -90,7 +103,7 @@
 	if in.Index != index {
 		return placement.Page{}, fmt.Errorf("decode job page %d: value names page %d", index, in.Index)
 	}
-	out := placement.Page{Index: index, Epoch: in.Epoch, Jobs: make([]placement.JobRecord, len(in.Jobs))}
+	out := placement.Page{Index: index, Epoch: in.Epoch, Jobs: make([]*placement.JobRecord, len(in.Jobs))}
 	for i := range in.Jobs {
 		if placement.PageOf(in.Jobs[i].ID) != index {
 			return placement.Page{}, fmt.Errorf("decode job page %d: job %q belongs to another page", index, in.Jobs[i].ID)
@@ -116,8 +129,8 @@
 	return out
 }
 
-func (j *job) record() placement.JobRecord {
-	out := placement.JobRecord{
+func (j *job) record() *placement.JobRecord {
+	out := &placement.JobRecord{
 		Spec: placement.Spec{
 			ID: j.ID, Tenant: j.Tenant, Pool: j.Pool, Class: j.Class, Family: j.Family, Size: resources(j.Size),
 			RunTime: j.RunTime, Idempotent: j.Idempotent, Checkpointable: j.Checkpointable, Payload: j.Payload,
--- a/placement/place.go
+++ b/placement/place.go
@@ -208,6 +208,7 @@
 // rank orders workers for a job; the least rank is best.
 type rank struct {
 	failed bool // the job failed there before
+	normal bool // not in need of a probe; a probe goes first, so that a quarantine ends
 	faults int
 	zone   int // active jobs of the family in the zone
 	rack   int // active jobs of the family in the rack
@@ -215,13 +216,14 @@
 }
 
 func (r rank) less(o rank) bool {
-	failed := func(r rank) int {
-		if r.failed {
+	number := func(b bool) int {
+		if b {
 			return 1
 		}
 		return 0
 	}
-	return cmp.Or(cmp.Compare(failed(r), failed(o)), cmp.Compare(r.faults, o.faults), cmp.Compare(r.zone, o.zone),
+	return cmp.Or(cmp.Compare(number(r.failed), number(o.failed)), cmp.Compare(number(r.normal), number(o.normal)),
+		cmp.Compare(r.faults, o.faults), cmp.Compare(r.zone, o.zone),
 		cmp.Compare(r.rack, o.rack), cmp.Compare(o.free, r.free)) < 0
 }
 
@@ -246,7 +248,7 @@
 			reason = ReasonCapacity
 			continue
 		}
-		r := rank{job.failedOn(w.Name), len(w.faults), zones[w.AvailabilityZone], racks[w.Rack], s.freeCores(w)}
+		r := rank{job.failedOn(w.Name), !w.Quarantine.Probing, len(w.faults), zones[w.AvailabilityZone], racks[w.Rack], s.freeCores(w)}
 		if best == nil || r.less(bestRank) {
 			best, bestRank = w, r
 		}
--- a/placement/reports.go
+++ b/placement/reports.go
@@ -14,7 +14,9 @@
 	for i := range e.Tasks {
 		task := &e.Tasks[i]
 		if id, ok := s.attemptByOp.Get(task.Operation); ok {
-			s.observeTask(id, s.attempts.Get(id), task, e.ObservedAt, tick.Now)
+			a := s.attempts.Get(id)
+			a.listedAt = later(a.listedAt, e.ObservedAt)
+			s.observeTask(id, a, task, e.ObservedAt, tick.Now)
 		}
 	}
 	if !e.ObservedAt.After(s.reportedAt) {
@@ -22,27 +24,23 @@
 		return
 	}
 	s.reportedAt = e.ObservedAt
-	s.markAbsent(e)
+	s.markAbsent(e.ObservedAt)
 }
 
 // markAbsent notes which started attempts a fresh list does not show. A list
 // counts as evidence only if it cannot predate the attempt's last sign of life.
-func (s *State) markAbsent(e TasksReported) {
-	shown := make(map[string]struct{}, len(e.Tasks))
-	for i := range e.Tasks {
-		shown[e.Tasks[i].Operation] = struct{}{}
-	}
-	evidence := e.ObservedAt.Add(-s.cfg.ReportLag)
+func (s *State) markAbsent(observedAt time.Time) {
+	evidence := observedAt.Add(-s.cfg.ReportLag)
 	for id, a := range s.attempts.All() {
-		if _, ok := shown[a.Operation]; ok || a.Status == AttemptIntended {
+		if a.listedAt.Equal(observedAt) || a.Status == AttemptIntended {
 			continue
 		}
 		if !evidence.After(a.sentAt) || !evidence.After(a.seenAt) || !evidence.After(a.StartedAt) {
 			continue
 		}
-		a.absentAt = e.ObservedAt
+		a.absentAt = observedAt
 		if a.absentSince.IsZero() {
-			a.absentSince = e.ObservedAt
+			a.absentSince = observedAt
 		}
 		s.attemptCheck.add(id)
 	}
--- a/placement/state.go
+++ b/placement/state.go
@@ -154,6 +154,7 @@
 	page := s.page(job.page)
 	page.sequence++
 	page.dirty = true
+	job.record = nil
 }
 
 // setState changes the state of a job and keeps the waiting indexes and the
--- a/placement/submit.go
+++ b/placement/submit.go
@@ -128,8 +128,12 @@
 	job := s.jobs.Get(action.row)
 	answer := Answer{Reply: action.reply, Outcome: outcome.Unknown, Reason: ReasonNotDurable, Job: View{ID: action.jobID}}
 	switch {
-	case job == nil: // an earlier reply for the same job removed it
-		answer.Outcome = outcome.NotRun
+	case job == nil && action.cancel:
+		answer.Outcome, answer.Reason = outcome.NotRun, ReasonNotFound
+	case job == nil: // refused with an earlier reply; a later submission may have brought the ID back
+		if _, ok := s.jobByID.Get(action.jobID); !ok {
+			answer.Outcome = outcome.NotRun
+		}
 	case action.cancel:
 		answer.Job = s.view(job)
 	case s.durable(job):
--- a/placement/systems.go
+++ b/placement/systems.go
@@ -46,6 +46,9 @@
 	for i := range s.pageIDs {
 		next = earliest(next, s.page(i).deadline(s))
 	}
+	if s.claimed < PageCount {
+		return next // calls wait for the pages
+	}
 	if s.attempts.Len() > 0 {
 		next = earliest(next, later(s.renewAt, s.quietUntil))
 	}
--- a/placement/takeover.go
+++ b/placement/takeover.go
@@ -42,7 +42,7 @@
 	row := s.page(at.Page.Index)
 	row.revision = at.Revision
 	for i := range at.Page.Jobs {
-		s.loadJob(&at.Page.Jobs[i], now)
+		s.loadJob(at.Page.Jobs[i], now)
 	}
 }
 
--- a/placement/workers.go
+++ b/placement/workers.go
@@ -14,12 +14,12 @@
 }
 
 // accepts reports whether the worker may get a new attempt of the job. A
-// probing worker gets one idempotent job at a time.
+// probing worker gets one idempotent job that is not urgent.
 func (w *Worker) accepts(job *Job, now time.Time) bool {
 	if !w.inService() || now.Before(w.avoidUntil) {
 		return false
 	}
-	return !w.Quarantine.Active || (job.Idempotent && w.Reserved == Resources{})
+	return !w.Quarantine.Active || (job.Idempotent && job.Class < ClassUrgent && w.Reserved == Resources{})
 }
 
 func (e FleetChanged) apply(s *State, tick engine.Tick) {
