--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -42,7 +42,7 @@
 			AvailabilityZone: fmt.Sprintf("z%d", i%11), Capacity: Resources{32_000, 64_000, 0}, Condition: ConditionAvailable,
 		})
 	}
-	s := &bench{state: New(Config{}), program: Program(nil), now: epoch0}
+	s := &bench{state: New(Config{Retention: time.Second}), program: Program(nil), now: epoch0}
 	s.events = []Event{PolicyChanged{policy.Resolve(&doc, epoch0)}, Takeover{Epoch: 1}, FleetChanged{Workers: fleet, Complete: true}}
 	s.tick()
 	s.tick()
@@ -98,6 +98,9 @@
 	next := benchJobs
 	for b.Loop() {
 		report := TasksReported{ObservedAt: s.now.Add(-time.Hour)} // only final rows
+		if len(s.running) < 10 {
+			b.Fatalf("%d jobs run, %+v", len(s.running), s.state.Counters)
+		}
 		for _, operation := range s.running[:10] {
 			report.Tasks = append(report.Tasks, TaskObservation{Operation: operation, Status: TaskDone, Used: Resources{500, 200, 0}})
 		}
--- a/placement/commit.go
+++ b/placement/commit.go
@@ -237,6 +237,28 @@
 	}
 }
 
+func (s *State) retire(id table.ID) {
+	s.Counters.Retired++
+	s.dropJob(id)
+}
+
+// retireJobs removes the jobs that finished first from pages that grow too large.
+func retireJobs(s *State, tick engine.Tick) {
+	for i := range s.pageIDs {
+		row := s.page(i)
+		for len(row.finished) > 0 {
+			job := s.jobs.Get(row.finished[0])
+			if job != nil && (row.bytes <= retainPageBytes || tick.Now.Sub(job.FinishedAt) < minRetention) {
+				break
+			}
+			if job != nil {
+				s.retire(row.finished[0])
+			}
+			row.finished = row.finished[1:]
+		}
+	}
+}
+
 // repeatReads sends the reads whose backoff has passed.
 func repeatReads(s *State, tick engine.Tick) {
 	if !s.Active() {
--- a/placement/config.go
+++ b/placement/config.go
@@ -58,6 +58,7 @@
 	DefaultSubmitTimeout  = 5 * time.Second
 	DefaultCommitInterval = 100 * time.Millisecond // urgent jobs wait for up to two writes within 2.2 s
 	DefaultRetention      = 10 * time.Minute
+	minRetention          = time.Minute // a repeated submission is recognized at least this long
 	DefaultQuarantineTime = 10 * time.Minute
 	DefaultFaultWindow    = 10 * time.Minute
 	DefaultDeclaredShare  = 0.5
--- a/placement/page.go
+++ b/placement/page.go
@@ -9,21 +9,27 @@
 
 // PageCount is the number of pages. It keeps a page of 10,000 jobs far under
 // the store's limit of 1 MB per value and bounds the writes per second.
-const PageCount = 16
+const PageCount = 16 // PageOf takes the top four bits of a hash
 
 // Bounds of a page and of one job in it.
 const (
-	MaxPageBytes    = 700_000 // estimated; submissions beyond it are refused
-	MaxPayloadBytes = 512     // 625 jobs of this size stay under MaxPageBytes
+	MaxPageBytes    = 800_000 // estimated; submissions beyond it are refused
+	retainPageBytes = 500_000 // beyond it finished jobs leave before their retention ends
+	MaxPayloadBytes = 512     // a page holds 625 jobs of this size
 	MaxNameBytes    = 128     // of job ID, tenant, pool, family and zone
-	jobFixedBytes   = 480     // field names, numbers and times of an encoded job
+	jobFixedBytes   = 600     // field names, numbers and times of an encoded job
 )
 
 // PageOf returns the page that holds a job.
 func PageOf(jobID string) int {
-	h := fnv.New32a()
+	h := fnv.New64a()
 	_, _ = h.Write([]byte(jobID))
-	return int(h.Sum32() % PageCount)
+	// The low bits of FNV depend only on the low bits of the characters, which
+	// puts IDs with a repeated counter on few pages; the top bits mix them all.
+	mixed := h.Sum64()
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	return int(mixed >> 60)
 }
 
 // Page is the durable state of the jobs of one page.
--- a/placement/pagecodec/pagecodec.go
+++ b/placement/pagecodec/pagecodec.go
@@ -27,32 +27,32 @@
 }
 
 type job struct {
-	ID             string              `json:"id"`
-	Tenant         string              `json:"tenant"`
-	Pool           string              `json:"pool"`
-	Class          placement.Class     `json:"class"`
-	Family         string              `json:"family,omitempty"`
-	Size           [3]int              `json:"size"` // milli cores, memory in MB, accelerators
-	RunTime        time.Duration       `json:"run_time_ns,omitempty"`
-	Idempotent     bool                `json:"idempotent,omitempty"`
-	Checkpointable bool                `json:"checkpointable,omitempty"`
-	Payload        string              `json:"payload,omitempty"`
-	Priority       int                 `json:"priority,omitempty"`
-	Zone           string              `json:"az,omitempty"`
-	SpreadRacks    bool                `json:"spread_racks,omitempty"`
-	State          placement.JobState  `json:"state"`
-	Reason         placement.Reason    `json:"reason,omitempty"`
-	Detail         string              `json:"detail,omitempty"`
-	SubmittedAt    time.Time           `json:"submitted_at"`
-	FinishedAt     time.Time           `json:"finished_at,omitzero"`
-	Attempts       int                 `json:"attempts,omitempty"`
-	FailedOn       []string            `json:"failed_on,omitempty"`
-	Failures       int                 `json:"failures,omitempty"`
-	Cancelling     bool                `json:"cancelling,omitempty"`
-	Resume         bool                `json:"resume,omitempty"`
-	Peak           placement.Resources `json:"peak,omitzero"`
-	Ran            time.Duration       `json:"ran_ns,omitempty"`
-	Attempt        *attempt            `json:"attempt,omitempty"`
+	ID             string             `json:"id"`
+	Tenant         string             `json:"tenant"`
+	Pool           string             `json:"pool"`
+	Class          placement.Class    `json:"class"`
+	Family         string             `json:"family,omitempty"`
+	Size           [3]int             `json:"size"` // milli cores, memory in MB, accelerators
+	RunTime        time.Duration      `json:"run_time_ns,omitempty"`
+	Idempotent     bool               `json:"idempotent,omitempty"`
+	Checkpointable bool               `json:"checkpointable,omitempty"`
+	Payload        string             `json:"payload,omitempty"`
+	Priority       int                `json:"priority,omitempty"`
+	Zone           string             `json:"az,omitempty"`
+	SpreadRacks    bool               `json:"spread_racks,omitempty"`
+	State          placement.JobState `json:"state"`
+	Reason         placement.Reason   `json:"reason,omitempty"`
+	Detail         string             `json:"detail,omitempty"`
+	SubmittedAt    int64              `json:"submitted_at"` // times in nanoseconds since 1970, zero if unset
+	FinishedAt     int64              `json:"finished_at,omitempty"`
+	Attempts       int                `json:"attempts,omitempty"`
+	FailedOn       []string           `json:"failed_on,omitempty"`
+	Failures       int                `json:"failures,omitempty"`
+	Cancelling     bool               `json:"cancelling,omitempty"`
+	Resume         bool               `json:"resume,omitempty"`
+	Peak           [3]int             `json:"peak,omitzero"`
+	Ran            time.Duration      `json:"ran_ns,omitempty"`
+	Attempt        *attempt           `json:"attempt,omitempty"`
 }
 
 type attempt struct {
@@ -61,8 +61,8 @@
 	Status    placement.AttemptStatus `json:"status"`
 	Resume    bool                    `json:"resume,omitempty"`
 	Reserved  [3]int                  `json:"reserved"`
-	CreatedAt time.Time               `json:"created_at"`
-	StartedAt time.Time               `json:"started_at,omitzero"`
+	CreatedAt int64                   `json:"created_at"`
+	StartedAt int64                   `json:"started_at,omitempty"`
 }
 
 // Encode returns the JSON form of a page.
@@ -119,12 +119,15 @@
 		ID: s.ID, Tenant: s.Tenant, Pool: s.Pool, Class: s.Class, Family: s.Family, Size: triple(s.Size),
 		RunTime: s.RunTime, Idempotent: s.Idempotent, Checkpointable: s.Checkpointable, Payload: s.Payload,
 		Priority: s.Priority, Zone: s.AvailabilityZone, SpreadRacks: s.SpreadRacks,
-		State: r.State, Reason: r.Reason, Detail: r.Detail, SubmittedAt: r.SubmittedAt, FinishedAt: r.FinishedAt,
+		State: r.State, Reason: r.Reason, Detail: r.Detail, SubmittedAt: nanoseconds(r.SubmittedAt), FinishedAt: nanoseconds(r.FinishedAt),
 		Attempts: r.Attempts, FailedOn: r.FailedOn, Failures: r.Failures, Cancelling: r.Cancelling, Resume: r.Resume,
-		Peak: r.Peak, Ran: r.Ran,
+		Peak: triple(r.Peak), Ran: r.Ran,
 	}
 	if a := r.Attempt; a != nil {
-		out.Attempt = &attempt{a.Operation, a.Worker, a.Status, a.Resume, triple(a.Reserved), a.CreatedAt, a.StartedAt}
+		out.Attempt = &attempt{
+			Operation: a.Operation, Worker: a.Worker, Status: a.Status, Resume: a.Resume, Reserved: triple(a.Reserved),
+			CreatedAt: nanoseconds(a.CreatedAt), StartedAt: nanoseconds(a.StartedAt),
+		}
 	}
 	return out
 }
@@ -136,14 +139,14 @@
 			RunTime: j.RunTime, Idempotent: j.Idempotent, Checkpointable: j.Checkpointable, Payload: j.Payload,
 			Priority: j.Priority, AvailabilityZone: j.Zone, SpreadRacks: j.SpreadRacks,
 		},
-		State: j.State, Reason: j.Reason, Detail: j.Detail, SubmittedAt: j.SubmittedAt, FinishedAt: j.FinishedAt,
+		State: j.State, Reason: j.Reason, Detail: j.Detail, SubmittedAt: moment(j.SubmittedAt), FinishedAt: moment(j.FinishedAt),
 		Attempts: j.Attempts, FailedOn: j.FailedOn, Failures: j.Failures, Cancelling: j.Cancelling, Resume: j.Resume,
-		Peak: j.Peak, Ran: j.Ran,
+		Peak: resources(j.Peak), Ran: j.Ran,
 	}
 	if a := j.Attempt; a != nil {
 		out.Attempt = &placement.AttemptRecord{
 			Operation: a.Operation, Worker: a.Worker, Status: a.Status, Resume: a.Resume,
-			Reserved: resources(a.Reserved), CreatedAt: a.CreatedAt, StartedAt: a.StartedAt,
+			Reserved: resources(a.Reserved), CreatedAt: moment(a.CreatedAt), StartedAt: moment(a.StartedAt),
 		}
 	}
 	return out
@@ -154,3 +157,17 @@
 func resources(t [3]int) placement.Resources {
 	return placement.Resources{MilliCores: t[0], MemoryMB: t[1], Accelerators: t[2]}
 }
+
+func nanoseconds(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func moment(nanoseconds int64) time.Time {
+	if nanoseconds == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanoseconds).UTC()
+}
--- a/placement/quarantine.go
+++ b/placement/quarantine.go
@@ -128,8 +128,7 @@
 		switch t.kind {
 		case timerRetention:
 			if job := s.jobs.Get(t.row); job != nil && job.State.Finished() {
-				s.Counters.Retired++
-				s.dropJob(t.row)
+				s.retire(t.row)
 			}
 		case timerAttempt:
 			s.attemptCheck.add(t.row)
--- a/placement/rows.go
+++ b/placement/rows.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/table"
 )
 
 // Condition is what the fleet says about a worker.
@@ -140,6 +142,7 @@
 	failures    int
 	dirty       bool
 	claimed     bool          // written with the own epoch
+	finished    []table.ID    // in order of finishing; may hold removed rows
 	starts      []startAction // in order of sequence
 	replies     []replyAction // in order of sequence and deadline
 	bytes       int           // estimated size of the encoded page
--- a/placement/state.go
+++ b/placement/state.go
@@ -220,7 +220,14 @@
 	s.setState(id, job, state, reason)
 	job.FinishedAt, job.Cancelling = now, false
 	s.Counters.countFinished(state)
-	s.timers.add(now.Add(s.cfg.Retention), timerRetention, id)
+	s.retain(id, job, now.Add(s.cfg.Retention))
+}
+
+// retain keeps a finished job until the given moment.
+func (s *State) retain(id table.ID, job *Job, until time.Time) {
+	row := s.page(job.page)
+	row.finished = append(row.finished, id)
+	s.timers.add(until, timerRetention, id)
 }
 
 // view returns the copy of a job for callers.
--- a/placement/systems.go
+++ b/placement/systems.go
@@ -11,6 +11,7 @@
 // every change of the tick.
 var Systems = []engine.System[State]{
 	{Name: "expire timers", Run: expireTimers},
+	{Name: "retire jobs", Run: retireJobs},
 	{Name: "repeat page reads", Run: repeatReads},
 	{Name: "expire replies", Run: expireReplies},
 	{Name: "cancel jobs", Run: cancelJobs},
--- a/placement/takeover.go
+++ b/placement/takeover.go
@@ -56,7 +56,7 @@
 		s.observeFamily(job)
 	}
 	if job.State.Finished() {
-		s.timers.add(later(now, r.FinishedAt.Add(s.cfg.Retention)), timerRetention, id)
+		s.retain(id, job, later(now, r.FinishedAt.Add(s.cfg.Retention)))
 		return
 	}
 	if r.Attempt == nil {
