--- a/placement/explain.go
+++ b/placement/explain.go
@@ -28,6 +28,9 @@
 		View: s.view(job), Cancelling: job.Cancelling, Durable: s.durable(job), FailedOn: job.FailedOn,
 		QuotaUsed: s.tenant(job.Tenant).Reserved.MilliCores, HeadroomWatt: s.HeadroomWatts(),
 	}
+	if e.State == JobPending && e.Reason == ReasonQueued && !s.placing {
+		e.Reason = ReasonTakeover
+	}
 	if s.policy != nil {
 		e.Reservation, e.Observed = s.reservation(&job.Spec), s.observed(&job.Spec)
 		e.QuotaLimit = s.quotaMilliCores(job.Tenant)
--- a/placement/place.go
+++ b/placement/place.go
@@ -32,7 +32,7 @@
 
 // placeJobs places waiting jobs in the pools where something changed.
 func placeJobs(s *State, tick engine.Tick) {
-	if !s.canPlace(tick.Now) {
+	if s.placing = s.canPlace(tick.Now); !s.placing {
 		return
 	}
 	for _, pool := range s.changedPools.take() {
--- a/placement/state.go
+++ b/placement/state.go
@@ -23,6 +23,7 @@
 	fleetKnown bool
 	quietUntil time.Time
 	startedAt  time.Time // of the takeover
+	placing    bool      // platform calls were allowed in the last tick
 	claimed    int       // pages written with the own epoch
 	random     *rand.Rand
 	order      uint64
