--- a/placement/state.go
+++ b/placement/state.go
@@ -23,6 +23,7 @@
 	fleetKnown bool
 	quietUntil time.Time
 	startedAt  time.Time // of the takeover
+	placing    bool      // platform calls were allowed in the last tick
 	claimed    int       // pages written with the own epoch
 	random     *rand.Rand
 	order      uint64
@@ -154,6 +155,7 @@
 	page := s.page(job.page)
 	page.sequence++
 	page.dirty = true
+	job.record = nil
 }
 
 // setState changes the state of a job and keeps the waiting indexes and the
@@ -219,7 +221,14 @@
 	s.setState(id, job, state, reason)
 	job.FinishedAt, job.Cancelling = now, false
 	s.Counters.countFinished(state)
-	s.timers.add(now.Add(s.cfg.Retention), timerRetention, id)
+	s.retain(id, job, now.Add(s.cfg.Retention))
+}
+
+// retain keeps a finished job until the given moment.
+func (s *State) retain(id table.ID, job *Job, until time.Time) {
+	row := s.page(job.page)
+	row.finished = append(row.finished, id)
+	s.timers.add(until, timerRetention, id)
 }
 
 // view returns the copy of a job for callers.
--- a/placement/systems.go
+++ b/placement/systems.go
@@ -11,6 +11,7 @@
 // every change of the tick.
 var Systems = []engine.System[State]{
 	{Name: "expire timers", Run: expireTimers},
+	{Name: "retire jobs", Run: retireJobs},
 	{Name: "repeat page reads", Run: repeatReads},
 	{Name: "expire replies", Run: expireReplies},
 	{Name: "cancel jobs", Run: cancelJobs},
@@ -46,6 +47,9 @@
 	for i := range s.pageIDs {
 		next = earliest(next, s.page(i).deadline(s))
 	}
+	if s.claimed < PageCount {
+		return next // calls wait for the pages
+	}
 	if s.attempts.Len() > 0 {
 		next = earliest(next, later(s.renewAt, s.quietUntil))
 	}
--- a/placement/takeover.go
+++ b/placement/takeover.go
@@ -42,7 +42,7 @@
 	row := s.page(at.Page.Index)
 	row.revision = at.Revision
 	for i := range at.Page.Jobs {
-		s.loadJob(&at.Page.Jobs[i], now)
+		s.loadJob(at.Page.Jobs[i], now)
 	}
 }
 
@@ -56,7 +56,7 @@
 		s.observeFamily(job)
 	}
 	if job.State.Finished() {
-		s.timers.add(later(now, r.FinishedAt.Add(s.cfg.Retention)), timerRetention, id)
+		s.retain(id, job, later(now, r.FinishedAt.Add(s.cfg.Retention)))
 		return
 	}
 	if r.Attempt == nil {
