Report unresolved configuration writes as unknown and check documents in full

A write whose result was lost and that was not in place when read again was reported as a conflict although it could still arrive. Controllers did not check the ranges of a document, and processes accepted any document from the store. Addresses, URLs and names in lists and in environment variables were not checked at start.

--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -16,6 +16,22 @@
 	document *policy.Document
 }
 
+type (
+	// ApplyConfig makes the document the successor of the base revision.
+	ApplyConfig struct {
+		Base     policy.Revision
+		Document *policy.Document
+	}
+	// ValidateConfig checks a document as ApplyConfig does, without applying it.
+	ValidateConfig struct{ Document *policy.Document }
+)
+
+// ConfigValid is the value of the answer to ValidateConfig.
+type ConfigValid struct {
+	Revision policy.Revision `json:"revision"` // in force, zero if there is none
+	Changes  []policy.Change `json:"changes"`  // compared with it
+}
+
 // ConfigAccepted is the value of the answer to ApplyConfig.
 type ConfigAccepted struct {
 	Revision policy.Revision `json:"revision"`
@@ -26,16 +42,43 @@
 		s.answer(r, refusal)
 		return
 	}
-	base := s.View.Config
-	if base == nil {
-		base = &policy.Document{}
-	}
+	base := s.configInForce()
 	document := policy.Next(base, c.Document, r.Operator, tick.Now)
+	document.Revision = max(document.Revision, s.View.ConfigRejected+1)
 	document.WriteID = fmt.Sprintf("%s/%d", s.View.Self.Incarnation, tick.Seq)
 	s.configWrite = &pendingConfig{reply: r.Reply, document: document}
 	s.Out.Configs.Add(WriteConfig{Base: base, Document: document, Revision: s.View.ConfigRevision})
 }
 
+func (c ValidateConfig) execute(s *State, tick engine.Tick, r *Request) {
+	if err := s.validate(c.Document, tick.Now); err != nil {
+		s.answer(r, Response{Status: StatusInvalid, Reason: "invalid-configuration", Detail: err.Error()})
+		return
+	}
+	base := s.configInForce()
+	changes := policy.Diff(base, c.Document)
+	if changes == nil {
+		changes = []policy.Change{}
+	}
+	s.answer(r, Response{Status: StatusDone, Value: ConfigValid{Revision: base.Revision, Changes: changes}})
+}
+
+// configInForce returns an empty document while the site has none.
+func (s *State) configInForce() *policy.Document {
+	if s.View.Config == nil {
+		return &policy.Document{}
+	}
+	return s.View.Config
+}
+
+// validate checks the document alone and against the live fleet.
+func (s *State) validate(document *policy.Document, now time.Time) error {
+	if err := policy.Validate(document); err != nil {
+		return err
+	}
+	return policy.ValidateAgainst(document, policy.Live{Now: now, PoolSizes: s.poolSizes()})
+}
+
 func (s *State) checkConfig(c ApplyConfig, now time.Time) (Response, bool) {
 	current := s.View.Config
 	switch {
@@ -53,8 +96,7 @@
 	case current != nil && s.View.ConfigRevision == 0:
 		return Response{Status: StatusUnavailable, Reason: "store-behind", Detail: "the store has not shown the configuration in force yet; nothing was changed"}, true
 	}
-	live := policy.Live{Now: now, PoolSizes: s.poolSizes()}
-	if err := policy.ValidateAgainst(c.Document, live); err != nil {
+	if err := s.validate(c.Document, now); err != nil {
 		return Response{Status: StatusInvalid, Reason: "invalid-configuration", Detail: err.Error()}, true
 	}
 	return Response{}, false
@@ -90,6 +132,12 @@
 		s.View.Log(events.ConfigApplied, events.F("revision", e.Document.Revision), events.F("author", e.Document.Author))
 	case node.WriteNotSent:
 		response = Response{Status: StatusUnavailable, Reason: "store-unreachable", Detail: "the store did not take the change; nothing was changed"}
+	case node.WriteUnknown:
+		s.View.Log(events.StoreWriteUnknown, events.F("key", s.View.Keys.Config()), events.F("revision", e.Document.Revision), events.Err(e.Result.Err))
+		response = Response{
+			Status: StatusUnknown, Reason: "write-unknown",
+			Detail: fmt.Sprintf("the change may still come into force as revision %d; read the configuration again before repeating it", e.Document.Revision),
+		}
 	case node.WriteConflicted:
 		response = Response{
 			Status: StatusConflict, Reason: "config-changed",
--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -115,7 +115,7 @@
 	case node.WriteNotSent:
 		s.Fleet.EndCommit(false)
 		s.commitRetryAt = tick.Now.Add(commitRetry)
-	case node.WriteConflicted:
+	case node.WriteConflicted, node.WriteUnknown:
 		// Either another controller wrote, or the own write did not arrive and may
 		// still do so. Reading everything anew under a higher epoch covers both.
 		s.View.Log(events.StoreWriteConflict, events.F("key", s.View.Keys.Fleet()), events.Err(e.Result.Err))
--- a/controller/operator_api.go
+++ b/controller/operator_api.go
@@ -39,6 +39,13 @@
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.Use(gin.Recovery())
+	engine.HandleMethodNotAllowed = true
+	engine.NoRoute(func(g *gin.Context) {
+		g.JSON(http.StatusNotFound, ErrorBody{Reason: "unknown-path", Detail: "no path " + strconv.Quote(g.Request.URL.Path)})
+	})
+	engine.NoMethod(func(g *gin.Context) {
+		g.JSON(http.StatusMethodNotAllowed, ErrorBody{Reason: "unknown-method", Detail: "the path does not accept " + g.Request.Method})
+	})
 	api := engine.Group("/v1")
 	api.GET("/status", c.query(func(*gin.Context) Command { return QueryStatus{} }))
 	api.GET("/pools", c.query(func(*gin.Context) Command { return QueryPools{} }))
@@ -52,6 +59,7 @@
 	api.GET("/config/history", c.getHistory)
 	api.GET("/config/in-force/:revision", c.getInForce)
 	api.PUT("/config", c.putConfig)
+	api.POST("/config/validate", c.validateConfig)
 	api.POST("/operations", c.postOperation)
 	api.POST("/wave", c.postWave)
 	api.DELETE("/jobs/:id", c.deleteJob)
@@ -140,19 +148,32 @@
 	}
 	base, err := strconv.ParseUint(g.GetHeader("If-Match"), 10, 63)
 	if err != nil {
-		invalid(g, "base-revision", "header If-Match must hold the revision on which the change is based")
+		invalid(g, "base-revision", "header If-Match is "+strconv.Quote(g.GetHeader("If-Match"))+
+			", want the revision on which the change is based, a whole number from 0 to 9223372036854775807")
 		return
 	}
+	if document, ok := readDocument(g); ok {
+		respond(g, c.request(g.Request.Context(), name, ApplyConfig{Base: policy.Revision(base), Document: document}))
+	}
+}
+
+func (c *Controller) validateConfig(g *gin.Context) {
+	if document, ok := readDocument(g); ok {
+		respond(g, c.request(g.Request.Context(), "", ValidateConfig{Document: document}))
+	}
+}
+
+func readDocument(g *gin.Context) (*policy.Document, bool) {
 	data, ok := readBody(g)
 	if !ok {
-		return
+		return nil, false
 	}
 	document, err := policy.Parse("request body", data)
 	if err != nil {
 		invalid(g, "invalid-configuration", err.Error())
-		return
+		return nil, false
 	}
-	respond(g, c.request(g.Request.Context(), name, ApplyConfig{Base: policy.Revision(base), Document: document}))
+	return document, true
 }
 
 func readBody(g *gin.Context) ([]byte, bool) {
--- a/controller/performer.go
+++ b/controller/performer.go
@@ -118,8 +118,27 @@
 			return ConfigWritten{Document: e.Document, Result: node.WriteResult{Status: node.WriteNotSent, Err: err}}
 		}
 		put := store.Put{Key: p.keys.Config(), Data: data, WriteID: e.Document.WriteID, Revision: e.Revision}
-		return ConfigWritten{Document: e.Document, Result: node.Write(ctx, p.store, put)}
+		result := node.Write(ctx, p.store, put)
+		if result.Status == node.WriteConflicted {
+			result = p.resolveReplaced(ctx, e.Document, result)
+		}
+		return ConfigWritten{Document: e.Document, Result: result}
+	}
+}
+
+// resolveReplaced tells a write that lost from one that took effect, lost its
+// answer and was replaced by a later change. Since a successor records its base
+// first, the history holds every document that was in place.
+func (p *performer) resolveReplaced(ctx context.Context, document *policy.Document, result node.WriteResult) node.WriteResult {
+	history, err := p.history(ctx)
+	if err != nil {
+		result.Status, result.Err = node.WriteUnknown, errors.Join(result.Err, err)
+		return result
+	}
+	if recorded, ok := history.Find(document.Revision); ok && recorded.WriteID == document.WriteID {
+		result.Status, result.Err = node.WriteCommitted, nil
 	}
+	return result
 }
 
 // historyAttempts bounds the races with other controllers that record the same base.
--- a/controller/queries.go
+++ b/controller/queries.go
@@ -174,6 +174,10 @@
 }
 
 func (q QueryWorkers) execute(s *State, _ engine.Tick, r *Request) {
+	if !s.knowsPool(q.Pool) {
+		s.answer(r, unknownPool(q.Pool))
+		return
+	}
 	reports := []WorkerReport{}
 	document := s.tables().Document()
 	for _, worker := range document.Workers {
@@ -184,6 +188,18 @@
 	s.answer(r, Response{Status: StatusDone, Value: reports})
 }
 
+// knowsPool accepts the empty name, which stands for all pools.
+func (s *State) knowsPool(name string) bool {
+	if name == "" || s.poolSizes()[name] > 0 {
+		return true
+	}
+	if s.View.Policy == nil {
+		return false
+	}
+	_, declared := s.View.Policy.Pool(name)
+	return declared
+}
+
 func (s *State) waitingFor(worker string) string {
 	if id, ok := s.observationIndex.Get(worker); ok {
 		return string(s.observations.Get(id).reason)
--- a/controller/requests.go
+++ b/controller/requests.go
@@ -9,7 +9,6 @@
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
-	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/wave"
 )
 
@@ -67,11 +66,6 @@
 		Pools  []string
 		Reason string
 	}
-	// ApplyConfig makes the document the successor of the base revision.
-	ApplyConfig struct {
-		Base     policy.Revision
-		Document *policy.Document
-	}
 )
 
 // WaveAction is an operator's request about the wave.
@@ -201,7 +195,7 @@
 	shortage := book.CheckDisrupt(row.Pool, row.AvailabilityZone)
 	if c.Kind == fleet.OperationMove {
 		if _, ok := s.View.Policy.Pool(c.ToPool); !ok {
-			return Response{Status: StatusNotFound, Reason: string(fleet.ReasonUnknownPool), Detail: fmt.Sprintf("no pool %q", c.ToPool)}, true
+			return unknownPool(c.ToPool), true
 		}
 		shortage = book.CheckMove(row.Pool, c.ToPool, row.AvailabilityZone)
 	}
@@ -214,6 +208,10 @@
 	}, true
 }
 
+func unknownPool(pool string) Response {
+	return Response{Status: StatusNotFound, Reason: string(fleet.ReasonUnknownPool), Detail: fmt.Sprintf("no pool %q", pool)}
+}
+
 func (s *State) whyNotAllowed(tick engine.Tick) string {
 	switch {
 	case tick.Now.Before(s.Lead.quietUntil):
@@ -271,6 +269,12 @@
 		s.answer(r, s.notActive())
 		return
 	}
+	for _, pool := range c.Pools {
+		if _, ok := s.View.Policy.Pool(pool); !ok {
+			s.answer(r, unknownPool(pool))
+			return
+		}
+	}
 	if err := s.controlWave(c, r.Operator, tick); err != nil {
 		response := s.refusal(err)
 		var stateError *wave.StateError
--- a/node/view.go
+++ b/node/view.go
@@ -30,6 +30,9 @@
 	Config         *policy.Document // nil until known
 	ConfigRevision store.Revision   // of the store value, zero if a peer delivered the document
 	Policy         *policy.Effective
+	// ConfigRejected is the highest revision of a document that was not valid. A
+	// successor needs a higher one.
+	ConfigRejected policy.Revision
 	nextExpiry     time.Time
 
 	Fleet         *fleet.Document // nil until known
@@ -112,8 +115,8 @@
 // MembersKnown reports whether the registrations were read at least once.
 func (v *View) MembersKnown() bool { return v.memberTableKnown }
 
-// seeConfig takes a document with a higher revision. A lower one is ignored, so
-// that an accepted configuration never reverts.
+// seeConfig takes a valid document with a higher revision. A lower one is
+// ignored, so that an accepted configuration never reverts.
 func (v *View) seeConfig(tick engine.Tick, e ConfigSeen) {
 	if v.Config != nil && e.Document.Revision <= v.Config.Revision {
 		if e.Document.Revision < v.Config.Revision {
@@ -123,10 +126,27 @@
 		}
 		return
 	}
+	if err := policy.Validate(e.Document); err != nil {
+		v.rejectConfig(e, err)
+		return
+	}
 	v.putInForce(tick, e.Document)
 	v.ConfigRevision = e.Revision
 }
 
+// rejectConfig keeps the document in force. The store revision is that of the
+// rejected value, because the next change has to replace it.
+func (v *View) rejectConfig(e ConfigSeen, err error) {
+	if e.Revision != 0 {
+		v.ConfigRevision = e.Revision
+	}
+	if e.Document.Revision <= v.ConfigRejected {
+		return
+	}
+	v.ConfigRejected = e.Document.Revision
+	v.Log(events.ConfigRejected, events.F("revision", e.Document.Revision), events.F("author", e.Document.Author), events.Err(err))
+}
+
 func (v *View) resolve(now time.Time) {
 	v.Policy = policy.Resolve(v.Config, now)
 	v.nextExpiry = v.Policy.NextExpiry(now)
--- a/node/writer.go
+++ b/node/writer.go
@@ -22,8 +22,9 @@
 // The results of a write.
 const (
 	WriteCommitted  WriteStatus = iota + 1
-	WriteConflicted             // another write is in place
+	WriteConflicted             // another write is in place; the own one may have been in place before it
 	WriteNotSent                // provably not executed
+	WriteUnknown                // was not in place when it was last read, but may still arrive
 )
 
 // WriteResult tells the control loop how a write ended. Revision is the store
@@ -39,8 +40,9 @@
 
 // Write performs a compare-and-swap and resolves an unknown result by reading
 // until the store answers or the context ends. It is called by an I/O goroutine.
-// It never repeats the write. A result that stays unknown until the context
-// ends is reported as a conflict, so that the loop reads the value again.
+// It never repeats the write. A write that was not in place after its result was
+// lost, or that could not be resolved before the context ended, stays unknown:
+// it may still arrive, and the loop reads the value again.
 func Write(ctx context.Context, s store.Store, put store.Put) WriteResult {
 	result := WriteResult{Key: put.Key, WriteID: put.WriteID}
 	callContext, cancel := context.WithTimeout(ctx, StoreCallTimeout)
@@ -53,6 +55,9 @@
 	switch {
 	case err == nil:
 		result.Status = WriteCommitted
+	case errors.Is(err, store.ErrNotInPlace), errors.Is(err, store.ErrUnknown):
+		// Tested first: an unresolved result also carries the error of the last read.
+		result.Status = WriteUnknown
 	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrBudget):
 		result.Status = WriteNotSent
 	default:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"strconv"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -42,6 +43,13 @@
 	return nil
 }
 
+// UnmarshalText parses an address. Unlike Validate, it is also called for
+// environment variables and for the elements of lists.
+func (a *Address) UnmarshalText(text []byte) error {
+	*a = Address(text)
+	return a.Validate()
+}
+
 // BaseURL is an http URL without query.
 type BaseURL string
 
@@ -54,6 +62,12 @@
 	return nil
 }
 
+// UnmarshalText parses a URL; see Address.UnmarshalText.
+func (u *BaseURL) UnmarshalText(text []byte) error {
+	*u = BaseURL(text)
+	return u.Validate()
+}
+
 var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,31}$`)
 
 // Name is the name of a site, availability zone, pool or tenant.
@@ -67,6 +81,12 @@
 	return nil
 }
 
+// UnmarshalText parses a name; see Address.UnmarshalText.
+func (n *Name) UnmarshalText(text []byte) error {
+	*n = Name(text)
+	return n.Validate()
+}
+
 // ValidName reports whether the text is a valid name.
 func ValidName(text string) bool { return nameForm.MatchString(text) }
 
@@ -122,6 +142,16 @@
 	return nil
 }
 
+// UnmarshalText parses a number; see Address.UnmarshalText.
+func (n *TrafficShards) UnmarshalText(text []byte) error {
+	value, err := strconv.Atoi(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a number from %d to %d", text, MinTrafficShards, MaxTrafficShards)
+	}
+	*n = TrafficShards(value)
+	return n.Validate()
+}
+
 // Strings returns the addresses as text.
 func Strings(addresses []Address) []string {
 	texts := make([]string, len(addresses))
--- a/store/memory/memory_test.go
+++ b/store/memory/memory_test.go
@@ -79,8 +79,11 @@
 func TestResolveAfterLostAnswer(t *testing.T) {
 	s := start(t, Options{})
 	ctx := context.Background()
-	s.SetFaults(Faults{LoseNextAnswers: 1})
 	lost := store.Put{Key: "a", Data: []byte("1"), WriteID: "w1"}
+	if _, err := store.Resolve(ctx, s, lost); !errors.Is(err, store.ErrNotInPlace) {
+		t.Fatalf("Resolve before the write arrives: %v, want not in place", err)
+	}
+	s.SetFaults(Faults{LoseNextAnswers: 1})
 	if _, err := s.CompareAndSwap(ctx, lost); !errors.Is(err, store.ErrUnknown) {
 		t.Fatalf("lost answer: %v, want unknown", err)
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -18,6 +18,9 @@
 	// ErrUnknown means that the call may or may not have taken effect. The caller
 	// resolves it with Resolve, never by repeating the write.
 	ErrUnknown = errors.New("store: result unknown")
+	// ErrNotInPlace means that the key still has the revision that a write with an
+	// unknown result was based on. The write may still arrive.
+	ErrNotInPlace = errors.New("store: write not in place")
 	// ErrLeaseLost means that the lease no longer exists.
 	ErrLeaseLost = errors.New("store: lease lost")
 	// ErrBudget means that the local call budget is used up. Nothing was sent.
@@ -82,19 +85,23 @@
 }
 
 // Resolve finds out whether a write with an unknown result took effect. It
-// returns the revision if it did, ErrConflict if another write or no write is in
-// place, and ErrUnknown while the store cannot tell.
+// returns the revision if it did, ErrConflict if another write is in place,
+// ErrNotInPlace if no write is, and ErrUnknown while the store cannot tell.
 //
-// A write that was delayed in transit may still arrive after Resolve saw the old
-// revision; it then fails or succeeds on the revision compare. The caller must
-// therefore read again before it bases a new write on the old revision.
+// After ErrConflict, the write can no longer take effect, but it may have been
+// in place before the other one. After ErrNotInPlace, it was not yet in place,
+// and may still arrive. The caller must therefore read again before it bases a
+// new write on the old revision.
 func Resolve(ctx context.Context, s Store, put Put) (Revision, error) {
 	current, err := s.Get(ctx, put.Key)
-	if err != nil {
+	switch {
+	case err != nil:
 		return 0, errors.Join(ErrUnknown, err)
-	}
-	if current.WriteID == put.WriteID {
+	case current.WriteID == put.WriteID:
 		return current.Revision, nil
+	case current.Revision == put.Revision:
+		return 0, ErrNotInPlace
+	default:
+		return 0, ErrConflict
 	}
-	return 0, ErrConflict
 }
