--- /dev/null
+++ b/cmd/waxwingctl/main.go
@@ -0,0 +1,10 @@
+// Command waxwingctl is the command line of the operators of a site.
+package main
+
+import (
+	"os"
+
+	"github.com/waxwingbridge/waxwingbridge/command"
+)
+
+func main() { os.Exit(command.Ctl(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/command/ctl_values.go
@@ -0,0 +1,83 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/policy"
+)
+
+// workerName is the ID of a worker. The platform chooses its form.
+type workerName string
+
+// UnmarshalText refuses an empty name.
+func (w *workerName) UnmarshalText(text []byte) error {
+	*w = workerName(text)
+	if strings.TrimSpace(string(text)) == "" {
+		return errors.New("an empty text is not the name of a worker")
+	}
+	return nil
+}
+
+// jobName is the ID of a job.
+type jobName string
+
+// UnmarshalText refuses an empty name.
+func (j *jobName) UnmarshalText(text []byte) error {
+	*j = jobName(text)
+	if strings.TrimSpace(string(text)) == "" {
+		return errors.New("an empty text is not the ID of a job")
+	}
+	return nil
+}
+
+const maxReasonBytes = 500
+
+// reasonText is an operator's reason.
+type reasonText string
+
+// UnmarshalText refuses an empty or overlong reason.
+func (r *reasonText) UnmarshalText(text []byte) error {
+	*r = reasonText(text)
+	if strings.TrimSpace(string(text)) == "" || len(text) > maxReasonBytes {
+		return fmt.Errorf("%q is not a reason of 1 to %d bytes", text, maxReasonBytes)
+	}
+	return nil
+}
+
+// revisionNumber is a revision of the configuration.
+type revisionNumber policy.Revision
+
+const revisionBits = 63
+
+// UnmarshalText parses a whole number.
+func (r *revisionNumber) UnmarshalText(text []byte) error {
+	value, err := strconv.ParseUint(string(text), 10, revisionBits)
+	if err != nil {
+		return fmt.Errorf("%q is not a revision, a whole number from 0 to %d", text, uint64(1)<<revisionBits-1)
+	}
+	*r = revisionNumber(value)
+	return nil
+}
+
+// Wait timeout range.
+const (
+	minWaitTimeout = time.Second
+	maxWaitTimeout = time.Hour
+)
+
+// waitTimeout bounds a wait until a change is in force.
+type waitTimeout time.Duration
+
+// UnmarshalText parses a duration and checks its range.
+func (t *waitTimeout) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	if err != nil || value < minWaitTimeout || value > maxWaitTimeout {
+		return fmt.Errorf("%q is not a duration from %v to %v", text, minWaitTimeout, maxWaitTimeout)
+	}
+	*t = waitTimeout(value)
+	return nil
+}
--- a/command/dev.go
+++ b/command/dev.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"go.uber.org/fx"
@@ -71,13 +72,25 @@
   curl -i -H 'Waxwing-Tenant: stall-17' 'http://%s/v1/pools/orders/hello?ms=20'
 Submit a job:
   curl -s -H 'Waxwing-Tenant: stall-17' -d '{"pool":"ledger","family":"reconcile","milli_cores":500,"payload":"run:2s"}' http://%s/v1/jobs
-Look around and maintain a worker:
-  export WAXWING_CONTROLLER=http://%s
+Look around, maintain a worker and change the configuration:
+  export WAXWING_CONTROLLER=%s
   go run ./cmd/waxwingctl status
   go run ./cmd/waxwingctl vms --pool orders
   go run ./cmd/waxwingctl maintain w001 --reason "kernel update"
-  go run ./cmd/waxwingctl wave start
+  go run ./cmd/waxwingctl explain worker w001
+  go run ./cmd/waxwingctl wave start --pool ledger
+  go run ./cmd/waxwingctl wave show
+  go run ./cmd/waxwingctl config show > config.json
+  go run ./cmd/waxwingctl apply config.json --wait
 
 Stop with Ctrl-C.
-`, caller, operator, site.StoreURL(), site.PlatformURL(), caller[0], caller[0], operator[0])
+`, caller, operator, site.StoreURL(), site.PlatformURL(), caller[0], caller[0], strings.Join(baseURLs(operator), ","))
+}
+
+func baseURLs(addresses []string) []string {
+	urls := make([]string, len(addresses))
+	for i, address := range addresses {
+		urls[i] = "http://" + address
+	}
+	return urls
 }
--- a/controller/operator_api.go
+++ b/controller/operator_api.go
@@ -20,6 +20,9 @@
 	HeaderOperator = "Waxwing-Operator"
 	// HeaderActiveController tells where to repeat a request that needs the active controller.
 	HeaderActiveController = "Waxwing-Active-Controller"
+	// HeaderPreferActive is "true" on a query that should be answered by the
+	// active controller while there is one.
+	HeaderPreferActive = "Waxwing-Prefer-Active"
 )
 
 const (
@@ -68,10 +71,15 @@
 
 // request posts a command to the control loop and waits for its response.
 func (c *Controller) request(ctx context.Context, operator string, command Command) Response {
+	return c.send(ctx, Request{Operator: operator, Command: command})
+}
+
+func (c *Controller) send(ctx context.Context, request Request) Response {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	reply := make(chan Response, 1)
-	if err := c.loop.Post(ctx, Requested{Request{Operator: operator, Command: command, Reply: reply}}); err != nil {
+	request.Reply = reply
+	if err := c.loop.Post(ctx, Requested{request}); err != nil {
 		return Response{Status: StatusUnavailable, Reason: "overloaded", Detail: "the control loop did not take the request"}
 	}
 	select {
@@ -106,7 +114,10 @@
 }
 
 func (c *Controller) query(command func(*gin.Context) Command) gin.HandlerFunc {
-	return func(g *gin.Context) { respond(g, c.request(g.Request.Context(), "", command(g))) }
+	return func(g *gin.Context) {
+		preferActive := g.GetHeader(HeaderPreferActive) == "true"
+		respond(g, c.send(g.Request.Context(), Request{Command: command(g), PreferActive: preferActive}))
+	}
 }
 
 // operator returns the name of the operator who makes a change.
--- a/controller/queries.go
+++ b/controller/queries.go
@@ -1,10 +1,8 @@
 package controller
 
 import (
-	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/budget"
 	"github.com/waxwingbridge/waxwingbridge/engine"
@@ -30,8 +28,6 @@
 	QueryConfig struct{}
 	// QueryInForce asks which processes lack a configuration revision.
 	QueryInForce struct{ Revision policy.Revision }
-	// Explain asks why a worker is not being maintained or a job not running.
-	Explain struct{ Kind, Name string }
 )
 
 // StatusReport tells how the control of the site is doing.
@@ -81,7 +77,8 @@
 	Waiting string `json:"waiting,omitempty"` // why its operation does not advance
 }
 
-// WaveReport tells the progress of the wave.
+// WaveReport tells the progress of the wave. The counts are of the workers that
+// are in the pools of the wave now.
 type WaveReport struct {
 	Wave       *fleet.Wave            `json:"wave"`
 	Pending    int                    `json:"pending"`
@@ -116,15 +113,6 @@
 	Lagging  []LaggingReport `json:"lagging"`
 }
 
-// Explanation answers Explain with the typed reason of the last decision.
-type Explanation struct {
-	Kind   string `json:"kind"`
-	Name   string `json:"name"`
-	State  string `json:"state"`
-	Reason string `json:"reason"`
-	Detail string `json:"detail,omitempty"`
-}
-
 func (QueryStatus) execute(s *State, tick engine.Tick, r *Request) {
 	tables := s.tables()
 	report := StatusReport{
@@ -213,6 +201,7 @@
 	if tables.Wave != nil {
 		for _, row := range tables.Workers.All() {
 			switch {
+			case len(tables.Wave.Pools) > 0 && !slices.Contains(tables.Wave.Pools, row.Pool):
 			case row.OperationID != 0:
 				report.InProgress++
 			case row.MaintainedAt.Before(tables.Wave.StartedAt):
@@ -277,46 +266,3 @@
 	}
 	s.answer(r, Response{Status: StatusDone, Value: report})
 }
-
-func (q Explain) execute(s *State, tick engine.Tick, r *Request) {
-	switch q.Kind {
-	case "worker":
-		s.explainWorker(q, tick, r)
-	case "job":
-		s.explainJob(q, r)
-	default:
-		s.answer(r, Response{Status: StatusInvalid, Reason: "unknown-kind", Detail: fmt.Sprintf("kind %q; accepted: worker, job", q.Kind)})
-	}
-}
-
-func (s *State) explainWorker(q Explain, tick engine.Tick, r *Request) {
-	row := s.tables().Worker(q.Name)
-	if row == nil {
-		s.answer(r, Response{Status: StatusNotFound, Reason: string(fleet.ReasonUnknownWorker), Detail: fmt.Sprintf("no worker %q", q.Name)})
-		return
-	}
-	explanation := Explanation{Kind: q.Kind, Name: q.Name, State: string(row.State), Reason: string(row.Note)}
-	switch {
-	case row.OperationID != 0:
-		explanation.Reason = s.waitingFor(row.ID)
-		explanation.Detail = "in this state since " + row.Since.Format(time.RFC3339)
-	case s.View.Policy != nil:
-		explanation.Reason = string(wave.Explain(s.waveView(tick), row.ID))
-	}
-	s.answer(r, Response{Status: StatusDone, Value: explanation})
-}
-
-func (s *State) explainJob(q Explain, r *Request) {
-	if !s.Active() {
-		s.answer(r, s.notActive())
-		return
-	}
-	view, ok := s.Jobs.Get(q.Name)
-	if !ok {
-		s.answer(r, Response{Status: StatusNotFound, Reason: string(placement.ReasonNotFound), Detail: fmt.Sprintf("no job %q", q.Name)})
-		return
-	}
-	s.answer(r, Response{Status: StatusDone, Value: Explanation{
-		Kind: q.Kind, Name: q.Name, State: string(view.State), Reason: string(view.Reason), Detail: view.Detail,
-	}})
-}
--- a/controller/requests.go
+++ b/controller/requests.go
@@ -30,7 +30,10 @@
 type Request struct {
 	Operator string
 	Command  Command
-	Reply    chan<- Response
+	// PreferActive asks for the view of the active controller, which alone knows
+	// the reasons of waits. The request is answered here while there is none.
+	PreferActive bool
+	Reply        chan<- Response
 }
 
 // Response answers a request.
@@ -90,7 +93,12 @@
 // executeRequests carries out the requests that arrived since the last tick.
 func executeRequests(s *State, tick engine.Tick) {
 	for i := range s.arrived {
-		s.arrived[i].Command.execute(s, tick, &s.arrived[i])
+		request := &s.arrived[i]
+		if request.PreferActive && s.otherActive() {
+			s.answer(request, s.notActive())
+			continue
+		}
+		request.Command.execute(s, tick, request)
 	}
 	clear(s.arrived)
 	s.arrived = s.arrived[:0]
@@ -100,6 +108,16 @@
 	s.Out.Answers.Add(Answer{Reply: r.Reply, Result: response})
 }
 
+// otherActive reports whether another live controller holds the lease.
+func (s *State) otherActive() bool {
+	leader := s.View.Leader
+	if s.Active() || leader.Revision == 0 || leader.Identity.Incarnation == s.View.Self.Incarnation {
+		return false
+	}
+	id, _ := s.Peers.Find(leader.Identity.Incarnation)
+	return s.Peers.Alive(id)
+}
+
 // notActive is the answer of a controller that does not control the fleet.
 func (s *State) notActive() Response {
 	response := Response{Status: StatusNotActive, Reason: "not-active", Detail: "this controller is " + s.Lead.phase.String()}
@@ -180,7 +198,7 @@
 func (s *State) checkDisrupt(c Disrupt, tick engine.Tick) (Response, bool) {
 	row := s.Fleet.Worker(c.Worker)
 	if row == nil {
-		return Response{Status: StatusNotFound, Reason: string(fleet.ReasonUnknownWorker), Detail: fmt.Sprintf("no worker %q", c.Worker)}, true
+		return unknownWorker(c.Worker), true
 	}
 	if s.View.Policy == nil {
 		return Response{Status: StatusUnavailable, Reason: "no-configuration"}, true
--- a/policy/shape.go
+++ b/policy/shape.go
@@ -93,11 +93,13 @@
 			return err
 		}
 	}
+	if _, err := s.decoder.Token(); err != nil {
+		return err // a truncated object does not tell which fields are missing
+	}
 	if typ != nil {
 		s.missing(path, fields, seen)
 	}
-	_, err := s.decoder.Token()
-	return err
+	return nil
 }
 
 func (s *shape) member(path, name string, typ reflect.Type, fields map[string]reflect.StructField, seen map[string]bool) error {
