--- a/controller/operator_api.go
+++ b/controller/operator_api.go
@@ -20,6 +20,9 @@
 	HeaderOperator = "Waxwing-Operator"
 	// HeaderActiveController tells where to repeat a request that needs the active controller.
 	HeaderActiveController = "Waxwing-Active-Controller"
+	// HeaderPreferActive is "true" on a query that should be answered by the
+	// active controller while there is one.
+	HeaderPreferActive = "Waxwing-Prefer-Active"
 )
 
 const (
@@ -39,6 +42,13 @@
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.Use(gin.Recovery())
+	engine.HandleMethodNotAllowed = true
+	engine.NoRoute(func(g *gin.Context) {
+		g.JSON(http.StatusNotFound, ErrorBody{Reason: "unknown-path", Detail: "no path " + strconv.Quote(g.Request.URL.Path)})
+	})
+	engine.NoMethod(func(g *gin.Context) {
+		g.JSON(http.StatusMethodNotAllowed, ErrorBody{Reason: "unknown-method", Detail: "the path does not accept " + g.Request.Method})
+	})
 	api := engine.Group("/v1")
 	api.GET("/status", c.query(func(*gin.Context) Command { return QueryStatus{} }))
 	api.GET("/pools", c.query(func(*gin.Context) Command { return QueryPools{} }))
@@ -52,6 +62,7 @@
 	api.GET("/config/history", c.getHistory)
 	api.GET("/config/in-force/:revision", c.getInForce)
 	api.PUT("/config", c.putConfig)
+	api.POST("/config/validate", c.validateConfig)
 	api.POST("/operations", c.postOperation)
 	api.POST("/wave", c.postWave)
 	api.DELETE("/jobs/:id", c.deleteJob)
@@ -60,10 +71,15 @@
 
 // request posts a command to the control loop and waits for its response.
 func (c *Controller) request(ctx context.Context, operator string, command Command) Response {
+	return c.send(ctx, Request{Operator: operator, Command: command})
+}
+
+func (c *Controller) send(ctx context.Context, request Request) Response {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	reply := make(chan Response, 1)
-	if err := c.loop.Post(ctx, Requested{Request{Operator: operator, Command: command, Reply: reply}}); err != nil {
+	request.Reply = reply
+	if err := c.loop.Post(ctx, Requested{request}); err != nil {
 		return Response{Status: StatusUnavailable, Reason: "overloaded", Detail: "the control loop did not take the request"}
 	}
 	select {
@@ -98,7 +114,10 @@
 }
 
 func (c *Controller) query(command func(*gin.Context) Command) gin.HandlerFunc {
-	return func(g *gin.Context) { respond(g, c.request(g.Request.Context(), "", command(g))) }
+	return func(g *gin.Context) {
+		preferActive := g.GetHeader(HeaderPreferActive) == "true"
+		respond(g, c.send(g.Request.Context(), Request{Command: command(g), PreferActive: preferActive}))
+	}
 }
 
 // operator returns the name of the operator who makes a change.
@@ -140,19 +159,32 @@
 	}
 	base, err := strconv.ParseUint(g.GetHeader("If-Match"), 10, 63)
 	if err != nil {
-		invalid(g, "base-revision", "header If-Match must hold the revision on which the change is based")
+		invalid(g, "base-revision", "header If-Match is "+strconv.Quote(g.GetHeader("If-Match"))+
+			", want the revision on which the change is based, a whole number from 0 to 9223372036854775807")
 		return
 	}
+	if document, ok := readDocument(g); ok {
+		respond(g, c.request(g.Request.Context(), name, ApplyConfig{Base: policy.Revision(base), Document: document}))
+	}
+}
+
+func (c *Controller) validateConfig(g *gin.Context) {
+	if document, ok := readDocument(g); ok {
+		respond(g, c.request(g.Request.Context(), "", ValidateConfig{Document: document}))
+	}
+}
+
+func readDocument(g *gin.Context) (*policy.Document, bool) {
 	data, ok := readBody(g)
 	if !ok {
-		return
+		return nil, false
 	}
 	document, err := policy.Parse("request body", data)
 	if err != nil {
 		invalid(g, "invalid-configuration", err.Error())
-		return
+		return nil, false
 	}
-	respond(g, c.request(g.Request.Context(), name, ApplyConfig{Base: policy.Revision(base), Document: document}))
+	return document, true
 }
 
 func readBody(g *gin.Context) ([]byte, bool) {
--- a/controller/requests.go
+++ b/controller/requests.go
@@ -9,7 +9,6 @@
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
-	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/wave"
 )
 
@@ -31,7 +30,10 @@
 type Request struct {
 	Operator string
 	Command  Command
-	Reply    chan<- Response
+	// PreferActive asks for the view of the active controller, which alone knows
+	// the reasons of waits. The request is answered here while there is none.
+	PreferActive bool
+	Reply        chan<- Response
 }
 
 // Response answers a request.
@@ -67,11 +69,6 @@
 		Pools  []string
 		Reason string
 	}
-	// ApplyConfig makes the document the successor of the base revision.
-	ApplyConfig struct {
-		Base     policy.Revision
-		Document *policy.Document
-	}
 )
 
 // WaveAction is an operator's request about the wave.
@@ -96,7 +93,12 @@
 // executeRequests carries out the requests that arrived since the last tick.
 func executeRequests(s *State, tick engine.Tick) {
 	for i := range s.arrived {
-		s.arrived[i].Command.execute(s, tick, &s.arrived[i])
+		request := &s.arrived[i]
+		if request.PreferActive && s.otherActive() {
+			s.answer(request, s.notActive())
+			continue
+		}
+		request.Command.execute(s, tick, request)
 	}
 	clear(s.arrived)
 	s.arrived = s.arrived[:0]
@@ -106,6 +108,16 @@
 	s.Out.Answers.Add(Answer{Reply: r.Reply, Result: response})
 }
 
+// otherActive reports whether another live controller holds the lease.
+func (s *State) otherActive() bool {
+	leader := s.View.Leader
+	if s.Active() || leader.Revision == 0 || leader.Identity.Incarnation == s.View.Self.Incarnation {
+		return false
+	}
+	id, _ := s.Peers.Find(leader.Identity.Incarnation)
+	return s.Peers.Alive(id)
+}
+
 // notActive is the answer of a controller that does not control the fleet.
 func (s *State) notActive() Response {
 	response := Response{Status: StatusNotActive, Reason: "not-active", Detail: "this controller is " + s.Lead.phase.String()}
@@ -186,7 +198,7 @@
 func (s *State) checkDisrupt(c Disrupt, tick engine.Tick) (Response, bool) {
 	row := s.Fleet.Worker(c.Worker)
 	if row == nil {
-		return Response{Status: StatusNotFound, Reason: string(fleet.ReasonUnknownWorker), Detail: fmt.Sprintf("no worker %q", c.Worker)}, true
+		return unknownWorker(c.Worker), true
 	}
 	if s.View.Policy == nil {
 		return Response{Status: StatusUnavailable, Reason: "no-configuration"}, true
@@ -201,7 +213,7 @@
 	shortage := book.CheckDisrupt(row.Pool, row.AvailabilityZone)
 	if c.Kind == fleet.OperationMove {
 		if _, ok := s.View.Policy.Pool(c.ToPool); !ok {
-			return Response{Status: StatusNotFound, Reason: string(fleet.ReasonUnknownPool), Detail: fmt.Sprintf("no pool %q", c.ToPool)}, true
+			return unknownPool(c.ToPool), true
 		}
 		shortage = book.CheckMove(row.Pool, c.ToPool, row.AvailabilityZone)
 	}
@@ -214,6 +226,10 @@
 	}, true
 }
 
+func unknownPool(pool string) Response {
+	return Response{Status: StatusNotFound, Reason: string(fleet.ReasonUnknownPool), Detail: fmt.Sprintf("no pool %q", pool)}
+}
+
 func (s *State) whyNotAllowed(tick engine.Tick) string {
 	switch {
 	case tick.Now.Before(s.Lead.quietUntil):
@@ -271,6 +287,12 @@
 		s.answer(r, s.notActive())
 		return
 	}
+	for _, pool := range c.Pools {
+		if _, ok := s.View.Policy.Pool(pool); !ok {
+			s.answer(r, unknownPool(pool))
+			return
+		}
+	}
 	if err := s.controlWave(c, r.Operator, tick); err != nil {
 		response := s.refusal(err)
 		var stateError *wave.StateError
