--- a/gateway/traffic/answer.go
+++ b/gateway/traffic/answer.go
@@ -67,8 +67,8 @@
 	s.finish(tick, id, request, Result{Outcome: result})
 }
 
-// detach answers the caller of a keyed request that went away, and keeps the
-// request, because others may wait for the outcome of the key.
+// detach answers the caller of a request that went away, and keeps the request:
+// others may wait for the outcome of its key, or its attempt must run on.
 func (s *State) detach(tick engine.Tick, request *Request) {
 	if request.detached {
 		return
--- a/gateway/traffic/complete.go
+++ b/gateway/traffic/complete.go
@@ -120,8 +120,9 @@
 func (s *State) retryOrEnd(tick engine.Tick, id table.ID, request *Request, pool *Pool) {
 	bound := routing.RetryDelayBound(request.sends)
 	repeatable := request.maybeRun == outcome.ReasonNone || request.Submission.Idempotent
+	wanted := !request.detached || request.record != 0
 	inTime := tick.Now.Add(bound).Before(request.Deadline)
-	if !repeatable || !inTime || !pool.retries.Take() {
+	if !repeatable || !wanted || !inTime || !pool.retries.Take() {
 		s.endWithout(tick, id, request, request.notRun)
 		return
 	}
--- a/gateway/traffic/expire.go
+++ b/gateway/traffic/expire.go
@@ -51,8 +51,9 @@
 }
 
 // removeAbandoned ends the requests whose callers went away. An attempt of an
-// idempotent request is cut off; others run to their end, because the target
-// may have acted on them already. A keyed request stays for its key.
+// idempotent request is cut off. Others run until their end or their deadline,
+// because the target may have acted on them already. A keyed request stays for
+// its key.
 func removeAbandoned(s *State, tick engine.Tick) {
 	for _, id := range s.abandoned {
 		if request := s.Requests.Get(id); request != nil {
@@ -69,11 +70,11 @@
 		s.finish(tick, id, request, Result{Outcome: gone})
 	case request.record != 0 && (request.phase == running || s.hasWaiters(request)):
 		s.detach(tick, request)
+	case request.phase == running && !request.Submission.Idempotent:
+		s.detach(tick, request)
 	case request.phase == running:
 		s.Attempts.Get(request.attempt).verdict = routing.Neutral
-		if request.Submission.Idempotent {
-			s.aborts.Add(request.attempt)
-		}
+		s.aborts.Add(request.attempt)
 		s.finish(tick, id, request, Result{Outcome: gone})
 	default:
 		s.endWithout(tick, id, request, outcome.ReasonCancelledBefore)
--- /dev/null
+++ b/idempotency/records_test.go
@@ -0,0 +1,61 @@
+package idempotency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+)
+
+// Guards against different requests with one fingerprint.
+func TestFingerprintSeparatesParts(t *testing.T) {
+	seen := map[Fingerprint]string{}
+	for _, parts := range [][4]string{
+		{"acme", "POST", "/a", "x"},
+		{"acm", "ePOST", "/a", "x"},
+		{"acme", "POST", "/ax", ""},
+		{"acme", "POST", "/", "ax"},
+		{"acme", "PUT", "/a", "x"},
+		{"other", "POST", "/a", "x"},
+		{"acme", "POST", "/a", "y"},
+	} {
+		print := FingerprintOf(parts[0], parts[1], parts[2], []byte(parts[3]))
+		if other, ok := seen[print]; ok {
+			t.Errorf("%v and %s share a fingerprint", parts, other)
+		}
+		seen[print] = fmt.Sprint(parts)
+	}
+}
+
+// Guards against unbounded memory for answers, and against a repeated answer
+// that is gone being reported as completed.
+func TestOldestAnswersAreDroppedBeyondTheBound(t *testing.T) {
+	var records Records[string]
+	const size = MaxAnswerBytes / 4
+	for i := range 6 {
+		id, ok := records.Begin(Name{"orders", fmt.Sprint(i)}, Fingerprint{}, 1)
+		if !ok {
+			t.Fatal("table is full")
+		}
+		records.Finish(id, outcome.Complete(), fmt.Sprint(i), size, testNow.Add(time.Duration(i)*time.Second))
+	}
+	if records.AnswerBytes() > MaxAnswerBytes || records.Len() != 6 {
+		t.Fatalf("%d records hold %d bytes", records.Len(), records.AnswerBytes())
+	}
+	first, _ := records.Find(Name{"orders", "1"})
+	if got := records.Get(first).Outcome; got != outcome.UnknownBecause(outcome.ReasonAnswerDropped) {
+		t.Errorf("outcome of a dropped answer = %v", got)
+	}
+	last, _ := records.Find(Name{"orders", "2"})
+	if record := records.Get(last); record.Outcome != outcome.Complete() || record.Answer != "2" {
+		t.Errorf("kept record = %+v", record)
+	}
+	records.Expire(testNow.Add(Retention + 2*time.Second))
+	if records.Len() != 3 || records.AnswerBytes() != 3*size {
+		t.Errorf("after the retention %d records hold %d bytes", records.Len(), records.AnswerBytes())
+	}
+	if got := records.NextExpiry(); !got.Equal(testNow.Add(Retention + 3*time.Second)) {
+		t.Errorf("next expiry = %v", got)
+	}
+}
--- a/idempotency/tracker.go
+++ b/idempotency/tracker.go
@@ -84,10 +84,10 @@
 	return &View{Self: t.self, LeaseUntil: leaseUntil, Epochs: slices.Clone(t.epochs), Gateways: maps.Clone(gateways)}
 }
 
-// settle marks the current epoch as settled when all members acknowledged it.
-// An acknowledgement of a later epoch than the current one proves that a later
-// list exists, under which the acknowledging member may already act; the
-// current epoch must not become settled any more.
+// settle marks the current epoch as settled when all members acknowledged this
+// or a later one: none of them acts under an earlier list any more. A member
+// that is ahead cannot act on keys that have their home here in this epoch
+// before this gateway acknowledges the later one.
 func (t *Tracker) settle(now time.Time) {
 	if len(t.epochs) == 0 {
 		return
@@ -97,7 +97,7 @@
 		return
 	}
 	for _, member := range current.Members {
-		if t.acks[member.Incarnation] != current.Epoch {
+		if t.acks[member.Incarnation] < current.Epoch {
 			return
 		}
 	}
