--- a/controller/job_performer.go
+++ b/controller/job_performer.go
@@ -40,7 +40,7 @@
 func (p *performer) writePage(e placement.WritePage) func(context.Context) Event {
 	return func(ctx context.Context) Event {
 		result := placement.PageResult{Index: e.Page.Index, WriteID: e.WriteID}
-		data, err := pagecodec.Encode(e.Page)
+		data, err := p.encoders[e.Page.Index].Encode(e.Page)
 		if err != nil {
 			result.Result = placement.WriteNotApplied
 			return JobEvent{result}
@@ -69,9 +69,11 @@
 
 func (p *performer) rereadPage(e placement.ReadPage) func(context.Context) Event {
 	return func(ctx context.Context) Event {
-		value, err := p.getWithTimeout(ctx, p.pageKey(e.Index))
+		ctx, cancel := context.WithTimeout(ctx, node.StoreCallTimeout)
+		defer cancel()
+		page, err := p.readPage(ctx, e.Index)
 		return JobEvent{placement.PageRead{
-			Index: e.Index, Failed: err != nil, WriteID: value.WriteID, Revision: int64(value.Revision),
+			Index: e.Index, Failed: err != nil, Page: page.Page, WriteID: page.WriteID, Revision: page.Revision,
 		}}
 	}
 }
--- a/controller/performer.go
+++ b/controller/performer.go
@@ -12,6 +12,7 @@
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
 	"github.com/waxwingbridge/waxwingbridge/platform"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
@@ -28,6 +29,8 @@
 	keys     node.Keys
 	self     node.Identity
 	replies  jobReplies
+	// encoders keep encoded jobs; at most one write per page is under way.
+	encoders [placement.PageCount]pagecodec.Encoder
 	running  sync.WaitGroup
 }
 
--- a/controller/requests.go
+++ b/controller/requests.go
@@ -209,6 +209,9 @@
 	if !row.Available() {
 		return Response{}, false // StartOperation names the state
 	}
+	if c.Kind == fleet.OperationMaintain && !s.rebootFitsPowerCap() {
+		return Response{Status: StatusConflict, Reason: "power-cap", Detail: "the draw of one more reboot would exceed the site's power cap"}, true
+	}
 	book := budget.Assess(s.Fleet, s.View.Policy, nil)
 	shortage := book.CheckDisrupt(row.Pool, row.AvailabilityZone)
 	if c.Kind == fleet.OperationMove {
