Export the program of a controller and the message sizes of the exchange

The capacity measurement steps the real systems of a controller and counts the bytes of its messages. The program was built inside New, and the last tick was noted by the flush, which a measurement replaces.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -55,12 +55,7 @@
 		Self: process.Identity.Member(), Seeds: settings.Strings(s.Peers),
 		Documents: []membership.DocumentKind{membership.DocumentConfig, membership.DocumentFleet},
 	}))
-	c.loop = engine.NewLoop(engine.Program[State, Event]{
-		Apply:        func(s *State, tick engine.Tick, event Event) { event.apply(s, tick) },
-		Systems:      Systems(),
-		Flush:        c.flush,
-		NextDeadline: NextDeadline,
-	}, state, inboxSize)
+	c.loop = engine.NewLoop(Program(c.flush), state, inboxSize)
 	c.performer = &performer{
 		ctx: process.Context(), post: c.loop.Post, store: process.Store, platform: process.Platform,
 		keys: process.Keys, self: process.Identity,
@@ -113,7 +108,7 @@
 
 // flush hands out the effects of a tick and publishes what I/O may know.
 func (c *Controller) flush(s *State, tick engine.Tick) {
-	c.performer.flush(s, tick)
+	c.performer.flush(s)
 	c.reporter.report(s, tick)
 	node.PublishDocuments(s.View, c.exchange)
 	c.exchange.Flush(s.Peers)
--- a/controller/performer.go
+++ b/controller/performer.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
@@ -44,8 +43,7 @@
 }
 
 // flush hands the effects of a tick to goroutines.
-func (p *performer) flush(s *State, tick engine.Tick) {
-	s.lastTick = tick.Now
+func (p *performer) flush(s *State) {
 	s.Out.Claims.Drain(func(e ClaimLeader) { p.start(p.claim(e)) })
 	s.Out.Releases.Drain(func(e ReleaseLeader) { p.start(p.release(e)) })
 	s.Out.Loads.Drain(func(LoadState) { p.start(p.load) })
--- a/controller/systems.go
+++ b/controller/systems.go
@@ -12,6 +12,7 @@
 // first what is known, then the role, then decisions, at last the writes.
 func Systems() []engine.System[State] {
 	systems := []engine.System[State]{
+		{Name: "note tick", Run: func(s *State, tick engine.Tick) { s.lastTick = tick.Now }},
 		{Name: "expire exceptions", Run: expireExceptions},
 		{Name: "follow members", Run: followMembers},
 		{Name: "report revisions", Run: reportRevisions},
@@ -37,6 +38,16 @@
 	)
 }
 
+// Program returns the systems as an engine program.
+func Program(flush func(*State, engine.Tick)) engine.Program[State, Event] {
+	return engine.Program[State, Event]{
+		Apply:        func(s *State, tick engine.Tick, event Event) { event.apply(s, tick) },
+		Systems:      Systems(),
+		Flush:        flush,
+		NextDeadline: NextDeadline,
+	}
+}
+
 // idleInterval is the longest pause between two ticks, so that leases and the
 // freshness of the view are looked at without an event.
 const idleInterval = 500 * time.Millisecond
--- a/peerapi/wirecost/wirecost.go
+++ b/peerapi/wirecost/wirecost.go
@@ -188,11 +188,11 @@
 		if peer == nil {
 			return
 		}
-		s.count(address, send.Address, requestBytes(&send.Message))
+		s.count(address, send.Address, RequestBytes(&send.Message))
 		peer.Receive(membership.Received{Message: send.Message, Token: 1})
 		s.systems(peer)
 		peer.Replies.Drain(func(reply membership.Reply) {
-			s.count(send.Address, address, answerBytes(&reply.Message))
+			s.count(send.Address, address, AnswerBytes(&reply.Message))
 			state.Receive(membership.Received{Message: reply.Message, Address: send.Address})
 		})
 	})
@@ -213,11 +213,13 @@
 
 const exchangeMethod = "/waxwing.peer.v1.Peer/Exchange"
 
-func requestBytes(message *membership.Message) int {
-	return frameBytes(drpcwire.KindInvoke, len(exchangeMethod)) + answerBytes(message)
+// RequestBytes returns the size of a message that calls a peer.
+func RequestBytes(message *membership.Message) int {
+	return frameBytes(drpcwire.KindInvoke, len(exchangeMethod)) + AnswerBytes(message)
 }
 
-func answerBytes(message *membership.Message) int {
+// AnswerBytes returns the size of a message that answers a call.
+func AnswerBytes(message *membership.Message) int {
 	size := proto.Size(peerapi.FromMessage(message))
 	return frameBytes(drpcwire.KindMessage, size) + frameBytes(drpcwire.KindCloseSend, 0)
 }
