Compress the fleet document and encode it for peers only on demand

During a wave the document changes about once a second, and every process receives it whole: 520 rows as JSON in base64 were 160 KB per write, against a bound of 11 KB/s. Its rows resemble each other, so it is now stored as gzip. Plain JSON is still read. Every process also encoded each new document once more for peers that might fetch it, on the control goroutine; this now happens on an I/O goroutine when the first peer asks.

--- a/controller/performer.go
+++ b/controller/performer.go
@@ -84,8 +84,8 @@
 	var loaded StateLoaded
 	value, err := p.store.Get(ctx, p.keys.Fleet())
 	if err == nil && value.Revision != 0 {
-		loaded.Fleet, loaded.FleetRevision = new(fleet.Document), value.Revision
-		err = json.Unmarshal(value.Data, loaded.Fleet)
+		loaded.FleetRevision = value.Revision
+		loaded.Fleet, err = node.DecodeFleet(value.Data)
 	}
 	for index := 0; index < placement.PageCount && err == nil; index++ {
 		var page placement.PageAt
@@ -98,7 +98,7 @@
 
 func (p *performer) writeFleet(e WriteFleet) func(context.Context) Event {
 	return func(ctx context.Context) Event {
-		data, err := json.Marshal(e.Document)
+		data, err := node.EncodeFleet(&e.Document)
 		if err != nil {
 			return FleetWritten{Document: e.Document, Result: node.WriteResult{Status: node.WriteConflicted, Err: err}}
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -56,7 +56,7 @@
 	Kind     membership.DocumentKind
 	Peer     table.ID
 	Revision uint64
-	Document []byte // JSON, as in the store; empty if the peer holds none
+	Document []byte // as in the store; empty if the peer holds none
 	Err      error
 }
 
@@ -103,7 +103,7 @@
 
 type document struct {
 	revision uint64
-	data     []byte
+	encode   func() ([]byte, error) // once
 }
 
 // New returns an exchange that serves on the listener, once started.
@@ -151,10 +151,11 @@
 }
 
 // Publish makes a document available to peers. A lower revision is ignored. The
-// data must not be modified afterwards. Only one goroutine may publish.
-func (e *Exchange) Publish(kind membership.DocumentKind, revision uint64, data []byte) {
+// document is encoded on an I/O goroutine when the first peer asks for it, so it
+// must not be modified afterwards. Only one goroutine may publish.
+func (e *Exchange) Publish(kind membership.DocumentKind, revision uint64, encode func() ([]byte, error)) {
 	if current := e.documents[kind].Load(); current == nil || revision > current.revision {
-		e.documents[kind].Store(&document{revision, data})
+		e.documents[kind].Store(&document{revision, sync.OnceValues(encode)})
 	}
 }
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -24,8 +24,8 @@
 func TestStateAndDocumentsSpread(t *testing.T) {
 	a := startNode(t, "a", "127.0.0.1:0", Options{})
 	b := startNode(t, "b", "127.0.0.1:0", Options{}, a.exchange.Address())
-	a.exchange.Publish(membership.DocumentConfig, 7, []byte(`{"revision":7}`))
-	a.exchange.Publish(membership.DocumentConfig, 6, []byte(`{"revision":6}`))
+	a.exchange.Publish(membership.DocumentConfig, 7, func() ([]byte, error) { return []byte(`{"revision":7}`), nil })
+	a.exchange.Publish(membership.DocumentConfig, 6, func() ([]byte, error) { return []byte(`{"revision":6}`), nil })
 	a.do(func(s *membership.State, now time.Time) {
 		s.SetRevision(membership.DocumentConfig, 7, now)
 		s.SetDemand("orders", 12)
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -58,7 +58,11 @@
 	if held == nil {
 		return &peerpb.FetchDocumentResponse{}, nil
 	}
-	return &peerpb.FetchDocumentResponse{Revision: held.revision, Document: held.data}, nil
+	data, err := held.encode()
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.FetchDocumentResponse{Revision: held.revision, Document: data}, nil
 }
 
 // ExecuteKeyed delegates to the owner's handler.
--- a/node/decode.go
+++ b/node/decode.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/exchange"
-	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/idempotency"
 	"github.com/waxwingbridge/waxwingbridge/membership"
 	"github.com/waxwingbridge/waxwingbridge/policy"
@@ -67,8 +66,8 @@
 }
 
 func decodeFleet(key string, data []byte, revision store.Revision) Event {
-	document := new(fleet.Document)
-	if err := json.Unmarshal(data, document); err != nil {
+	document, err := DecodeFleet(data)
+	if err != nil {
 		return ValueInvalid{key, err}
 	}
 	return FleetSeen{document, revision}
--- a/node/peers.go
+++ b/node/peers.go
@@ -52,24 +52,20 @@
 	peers.FetchFinished(fetched.Kind, fetched.Peer, tick.Now)
 }
 
-// PublishDocuments hands new documents to the exchange, which serves them to peers.
+// PublishDocuments hands new documents to the exchange, which serves them to
+// peers. They are encoded only if a peer asks: nearly all processes get them by
+// the store's watch.
 func PublishDocuments(v *View, e *exchange.Exchange) {
-	if v.Config != nil && v.Config != v.publishedConfig {
-		if data, err := policy.Encode(v.Config); err == nil {
-			e.Publish(membership.DocumentConfig, uint64(v.Config.Revision), data)
-			v.publishedConfig = v.Config
-		}
+	if config := v.Config; config != nil && config != v.publishedConfig {
+		e.Publish(membership.DocumentConfig, uint64(config.Revision), func() ([]byte, error) { return policy.Encode(config) })
+		v.publishedConfig = config
 	}
-	if v.Fleet != nil && v.Fleet != v.publishedFleet {
-		if data, err := json.Marshal(v.Fleet); err == nil {
-			e.Publish(membership.DocumentFleet, v.Fleet.Revision, data)
-			v.publishedFleet = v.Fleet
-		}
+	if document := v.Fleet; document != nil && document != v.publishedFleet {
+		e.Publish(membership.DocumentFleet, document.Revision, func() ([]byte, error) { return EncodeFleet(document) })
+		v.publishedFleet = document
 	}
-	if v.Homes != nil && v.Homes != v.publishedHomes {
-		if data, err := json.Marshal(v.Homes); err == nil {
-			e.Publish(membership.DocumentHomes, v.Homes.Epoch, data)
-			v.publishedHomes = v.Homes
-		}
+	if homes := v.Homes; homes != nil && homes != v.publishedHomes {
+		e.Publish(membership.DocumentHomes, homes.Epoch, func() ([]byte, error) { return json.Marshal(homes) })
+		v.publishedHomes = homes
 	}
 }
