Bound the direct questions about workers in a wide wave

The active controller asked the platform about each worker with an operation every 500 ms, although a reboot takes minutes. With about 100 operations at a time that was 178 questions a second and most of what a wave costs it. All questions together now keep to 10 a second, one each 500 ms at least for a single operation, unless the VM list shows another condition of the worker than at the last question.

--- a/controller/operations.go
+++ b/controller/operations.go
@@ -17,14 +17,33 @@
 	for _, operation := range s.Fleet.Operations.All() {
 		row := s.Fleet.Workers.Get(operation.Worker)
 		o := s.observationOf(row.ID)
-		if !o.asking && !o.callInFlight && !tick.Now.Before(o.askAt) {
+		if !o.asking && !o.callInFlight && s.questionDue(o, tick.Now) {
 			s.ask(o)
 		}
 	}
 }
 
+// questionDue reports whether the worker should be asked now: after the pause,
+// or earlier when the list shows that something happened.
+func (s *State) questionDue(o *observation, now time.Time) bool {
+	return !now.Before(o.askAt) || (!now.Before(o.askSoonest) && s.listedCondition(o.worker) != o.askedIn)
+}
+
+func (s *State) listedCondition(worker string) listedCondition {
+	listed := s.View.ListedWorker(worker)
+	if listed == nil {
+		return listedCondition{}
+	}
+	return listedCondition{listed.Status, listed.BootID, listed.Requests, listed.Tasks, listed.Operation}
+}
+
+// questionInterval is the pause between two questions about one worker.
+func (s *State) questionInterval() time.Duration {
+	return max(observeInterval, time.Duration(s.Fleet.Operations.Len())*time.Second/questionsPerSecond)
+}
+
 func (s *State) ask(o *observation) {
-	o.asking = true
+	o.asking, o.askedIn = true, s.listedCondition(o.worker)
 	s.Out.Questions.Add(AskWorker{Worker: o.worker})
 }
 
@@ -34,7 +53,7 @@
 	}
 	o := s.observationOf(e.Worker)
 	o.asking = false
-	o.askAt = tick.Now.Add(observeInterval)
+	o.askAt, o.askSoonest = tick.Now.Add(s.questionInterval()), tick.Now.Add(observeInterval)
 	if e.Err != nil || e.Observation == nil {
 		return
 	}
--- a/controller/state.go
+++ b/controller/state.go
@@ -13,6 +13,7 @@
 	"github.com/waxwingbridge/waxwingbridge/membership"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/platform"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -36,6 +37,10 @@
 	// observeInterval is the pause between two direct questions about a worker
 	// with an operation.
 	observeInterval = 500 * time.Millisecond
+	// questionsPerSecond bounds the direct questions about all workers with an
+	// operation: in a wide wave each worker is asked less often, unless the VM list
+	// shows a change. A question and its answer are about 700 bytes.
+	questionsPerSecond = 10
 	// storeSilence is how long the watch may be silent before no new disruption starts.
 	storeSilence = 3 * time.Second
 	// taskListInterval is the pause between two reads of the task list.
@@ -85,6 +90,8 @@
 	worker       string
 	asking       bool
 	askAt        time.Time
+	askSoonest   time.Time          // if the list shows another condition than when asked last
+	askedIn      listedCondition    // of the worker at the last question
 	answer       *fleet.Observation // nil if none was asked after the last call
 	callInFlight bool
 	callKind     fleet.CallKind
@@ -96,6 +103,16 @@
 	reported     bool         // a slow drain was reported
 }
 
+// listedCondition is what the VM list shows of the progress of an operation.
+// Only direct answers count; a change in the list is a reason to ask.
+type listedCondition struct {
+	status    platform.WorkerStatus
+	bootID    int64
+	requests  int
+	tasks     int
+	operation string
+}
+
 // State is the control state of a controller.
 type State struct {
 	View  *node.View
