--- /dev/null
+++ b/measure/capacity/codec.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/gateway/traffic"
+	"github.com/waxwingbridge/waxwingbridge/membership"
+	"github.com/waxwingbridge/waxwingbridge/node"
+	"github.com/waxwingbridge/waxwingbridge/peerapi"
+	"github.com/waxwingbridge/waxwingbridge/peerapi/peerpb"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/policy"
+	"github.com/waxwingbridge/waxwingbridge/table"
+)
+
+// cost returns the processor time of one run in milliseconds, the least of a
+// few repeats.
+func cost(run func()) float64 {
+	const runs = 20
+	var least float64
+	for i := range repeats {
+		began := processorTime()
+		for range runs {
+			run()
+		}
+		if used := float64(processorTime()-began) / runs / float64(time.Millisecond); i == 0 || used < least {
+			least = used
+		}
+	}
+	return least
+}
+
+// must stops the command on an error that valid fixtures cannot cause.
+func must[T any](value T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+func compressed(data []byte) []byte {
+	var out bytes.Buffer
+	writer := gzip.NewWriter(&out)
+	must(writer.Write(data))
+	if err := writer.Close(); err != nil {
+		panic(err)
+	}
+	return out.Bytes()
+}
+
+const (
+	// base64Growth is the growth of a value in the store's JSON protocol.
+	base64Growth = 4.0 / 3
+	kilobyte     = 1000.0
+	listRate     = float64(time.Second) / float64(node.WorkerListInterval)
+	changesADay  = 270
+	day          = 24 * time.Hour
+)
+
+// measureCodecs measures the work of the I/O goroutines on what one process
+// sends and receives.
+func measureCodecs(s *site, r *report) {
+	x := float64(s.size.workers)
+	list := must(json.Marshal(s.machines.list()))
+	r.add("VM list: size compressed", "KB", x, float64(len(compressed(list)))/kilobyte)
+	r.add("VM list: decode", "ms", x, cost(func() {
+		var workers []platform.Worker
+		must(0, json.Unmarshal(list, &workers))
+	}))
+	document := must(node.EncodeFleet(s.fleet.Document))
+	r.add("fleet document: size as stored, in base64", "KB", x, base64Growth*float64(len(document))/kilobyte)
+	r.add("fleet document: encode", "ms", x, cost(func() { must(node.EncodeFleet(s.fleet.Document)) }))
+	r.add("fleet document: decode", "ms", x, cost(func() { must(node.DecodeFleet(document)) }))
+	config := must(policy.Encode(s.config.Document))
+	r.add("configuration: size, in base64", "KB", x, base64Growth*float64(len(config))/kilobyte)
+	r.add("configuration: decode, validate, resolve", "ms", x, cost(func() {
+		doc := must(policy.Decode(config))
+		must(0, policy.Validate(doc))
+		policy.Resolve(doc, s.now)
+	}))
+	measurePages(s, r, x)
+	measureTasks(s, r, x)
+	sent, received := &s.gateways[0].traffic.sentMessages, &s.gateways[0].traffic.messages
+	r.add("peer exchange: encode and decode", "% core", x, percent*messageCost(*sent, *received).Seconds()/measured.Seconds())
+	r.add("traffic shards: adopt snapshots", "% core", x, percent*adoptionCost(s).Seconds()/measured.Seconds())
+}
+
+func measurePages(s *site, r *report, x float64) {
+	if len(s.pages) == 0 {
+		return
+	}
+	var size int
+	began := processorTime()
+	var encoders [placement.PageCount]pagecodec.Encoder
+	for _, page := range s.pages {
+		size += len(must(encoders[page.Index].Encode(page)))
+	}
+	used := processorTime() - began
+	writes := float64(len(s.pages))
+	r.add("job pages: writes", "/s", x, writes/measured.Seconds())
+	r.add("job pages: size of a write, in base64", "KB", x, base64Growth*float64(size)/writes/kilobyte)
+	r.add("job pages: encode", "% core", x, percent*used.Seconds()/measured.Seconds())
+}
+
+func measureTasks(s *site, r *report, x float64) {
+	tasks := make([]platform.Task, len(s.running))
+	for i, operation := range s.running {
+		tasks[i] = platform.Task{
+			Operation: operation, Job: "job-000001", Worker: "w001", Status: platform.TaskRunning,
+			UsedMilliCores: jobUsedCores * milliPerCore, UsedMemoryMB: jobUsedMemory, PowerWatts: jobWattsPerJob,
+		}
+	}
+	data := must(json.Marshal(tasks))
+	r.add("task list: running tasks", "", x, float64(len(tasks)))
+	r.add("task list: size", "KB", x, float64(len(data))/kilobyte)
+	r.add("task list: decode", "ms", x, cost(func() {
+		var decoded []platform.Task
+		must(0, json.Unmarshal(data, &decoded))
+	}))
+}
+
+// messageCost encodes what a process sent and decodes what it received.
+func messageCost(sent, received []membership.Message) time.Duration {
+	encoded := make([][]byte, len(received))
+	for i := range received {
+		encoded[i] = must(proto.Marshal(peerapi.FromMessage(&received[i])))
+	}
+	began := processorTime()
+	for i := range sent {
+		must(proto.Marshal(peerapi.FromMessage(&sent[i])))
+	}
+	for _, data := range encoded {
+		state := new(peerpb.State)
+		must(0, proto.Unmarshal(data, state))
+		peerapi.ToMessage(state)
+	}
+	return processorTime() - began
+}
+
+// adoptionCost lets the shards of a gateway adopt its snapshots.
+func adoptionCost(s *site) time.Duration {
+	const shards = 2
+	var used time.Duration
+	for shard := range shards {
+		source := new(atomic.Pointer[traffic.Snapshot])
+		state := traffic.NewState(traffic.Config{Source: source, Owns: func(pool string) bool {
+			return int(pool[len(pool)-1])%shards == shard
+		}})
+		program := traffic.Program(noTraffic{})
+		began := processorTime()
+		for i, snapshot := range s.snapshots {
+			source.Store(snapshot)
+			program.Step(state, engine.Tick{Now: s.measuredFrom(), Seq: uint64(i + 1)}, traffic.Published{})
+		}
+		used += processorTime() - began
+	}
+	return used
+}
+
+// noTraffic performs nothing, because no requests arrive.
+type noTraffic struct{}
+
+func (noTraffic) Send(traffic.Send)       {}
+func (noTraffic) Abort(table.ID)          {}
+func (noTraffic) Answer(traffic.Reply)    {}
+func (noTraffic) Discard(*traffic.Answer) {}
+func (noTraffic) Report(traffic.Report)   {}
+func (noTraffic) Note(traffic.Notice)     {}
--- /dev/null
+++ b/measure/capacity/effects.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/controller"
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/gateway/control"
+	"github.com/waxwingbridge/waxwingbridge/gateway/traffic"
+	"github.com/waxwingbridge/waxwingbridge/idempotency"
+	"github.com/waxwingbridge/waxwingbridge/node"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/store"
+)
+
+func (s *site) flushGateway(g *gatewayHost, st *control.State) {
+	st.Out.Snapshots.Drain(func(snapshot *traffic.Snapshot) {
+		if g == s.gateways[0] && s.counting {
+			s.snapshots = append(s.snapshots, snapshot)
+		}
+	})
+	st.Out.Homes.Drain(func(e control.UpdateHomes) { s.later(func() { s.updateHomes(g, e) }) })
+	st.View.Logs.Drain(func(events.Record) {})
+	s.exchangeEffects(g, st.Peers)
+}
+
+func (s *site) updateHomes(g *gatewayHost, e control.UpdateHomes) {
+	self := idempotency.Member{Incarnation: g.identity.Incarnation, Address: g.identity.PeerAddress}
+	next, needed := idempotency.FirstHomes(self), true
+	if s.homes != nil {
+		var live []string
+		for _, other := range s.gateways {
+			live = append(live, other.identity.Incarnation)
+		}
+		next, needed = idempotency.NextHomes(*s.homes, live, self)
+	}
+	if needed {
+		s.homes = &next
+		s.broadcast(node.HomesSeen{Homes: s.homes, Revision: s.nextRevision()})
+	}
+	g.post(control.HomesUpdated{Lease: e.Lease, Homes: s.homes})
+}
+
+// flushController answers the effects of a controller.
+func (s *site) flushController(c *controllerHost, st *controller.State, _ engine.Tick) {
+	answer := func(event controller.Event) { s.later(func() { c.post(event) }) }
+	st.Out.Claims.Drain(func(controller.ClaimLeader) { s.later(func() { s.claim(c) }) })
+	st.Out.Releases.Drain(func(controller.ReleaseLeader) {})
+	st.Out.Loads.Drain(func(controller.LoadState) {
+		loaded := controller.StateLoaded{Fleet: s.fleet.Document, FleetRevision: s.fleet.Revision}
+		for i := range placement.PageCount {
+			loaded.Pages = append(loaded.Pages, placement.PageAt{Page: placement.Page{Index: i}})
+		}
+		answer(loaded)
+	})
+	st.Out.Fleets.Drain(func(e controller.WriteFleet) {
+		s.later(func() {
+			document := e.Document
+			result := node.WriteResult{Status: node.WriteCommitted, Revision: s.wroteFleet(&document)}
+			c.post(controller.FleetWritten{Document: e.Document, Result: result})
+		})
+	})
+	st.Out.Configs.Drain(func(controller.WriteConfig) {})
+	st.Out.Calls.Drain(func(e controller.CallPlatform) {
+		s.count("platform: calls")
+		s.machines.call(e.Call, s.now)
+		answer(controller.PlatformCalled{Call: e.Call})
+	})
+	st.Out.Questions.Drain(func(e controller.AskWorker) {
+		s.count("platform: worker questions")
+		s.later(func() {
+			c.post(controller.WorkerAnswered{Worker: e.Worker, Observation: s.machines.observe(e.Worker), Asked: s.now})
+		})
+	})
+	st.Out.TaskLists.Drain(func(controller.ListTasks) {
+		answer(controller.TasksListed{Report: s.taskReport()})
+	})
+	st.Out.Answers.Drain(func(e controller.Answer) { e.Reply <- e.Result })
+	s.flushJobs(&st.Jobs.Out, answer)
+	st.View.Logs.Drain(func(events.Record) {})
+	s.exchangeEffects(c, st.Peers)
+}
+
+func (s *site) claim(c *controllerHost) {
+	if s.leader.Revision != 0 {
+		c.post(controller.LeaderClaimed{Err: store.ErrConflict})
+		return
+	}
+	s.leader = node.LeaderSeen{Identity: c.identity, Revision: s.nextRevision()}
+	c.post(controller.LeaderClaimed{Revision: s.leader.Revision})
+	s.broadcast(s.leader)
+}
+
+func (s *site) flushJobs(out *placement.Outbound, answer func(controller.Event)) {
+	out.Writes.Drain(func(w placement.WritePage) {
+		if s.counting {
+			s.pages = append(s.pages, w.Page)
+		}
+		answer(controller.JobEvent{Event: placement.PageResult{
+			Index: w.Page.Index, WriteID: w.WriteID, Result: placement.WriteCommitted, Revision: int64(s.nextRevision()),
+		}})
+	})
+	out.Reads.Drain(func(placement.ReadPage) {})
+	out.Starts.Drain(func(e placement.StartTask) {
+		s.count("jobs: starts")
+		s.running = append(s.running, e.Operation)
+		answer(controller.JobEvent{Event: placement.StartResult{Operation: e.Operation, Result: placement.CallDone}})
+	})
+	out.Controls.Drain(func(e placement.ControlTask) {
+		answer(controller.JobEvent{Event: placement.ControlResult{Operation: e.Operation, Action: e.Action, Result: placement.CallDone}})
+	})
+	out.Renewals.Drain(func(placement.RenewTasks) {})
+	out.Answers.Drain(func(placement.Answer) {})
+}
+
+const (
+	submitBatch    = 100 // jobs per quantum until the site holds its jobs
+	finishedEvery  = time.Second
+	finishedShare  = 3000 // one of so many jobs ends each second
+	jobsAfter      = 15 * time.Second
+	jobUsedCores   = jobCores
+	jobUsedMemory  = jobMemoryMB
+	jobWattsPerJob = 20
+)
+
+// offerJobs submits the jobs that the site holds and, while it is busy, as many
+// as end.
+func (s *site) offerJobs() {
+	active := s.active()
+	if active == nil || s.now.Sub(started) < jobsAfter {
+		return
+	}
+	submit := min(submitBatch, s.size.jobs-s.nextJob)
+	if s.busy && submit <= 0 && s.now.Sub(started)%finishedEvery == 0 {
+		submit = min(s.size.jobs/finishedShare, len(s.running))
+		s.finished = append(s.finished, s.running[:submit]...)
+		s.running = s.running[submit:]
+	}
+	for range submit {
+		active.post(controller.JobEvent{Event: s.size.job(s.nextJob)})
+		s.nextJob++
+	}
+}
+
+// taskReport lists the running tasks, and once those that ended.
+func (s *site) taskReport() placement.TasksReported {
+	report := placement.TasksReported{ObservedAt: s.now}
+	used := placement.Resources{MilliCores: jobUsedCores * milliPerCore, MemoryMB: jobUsedMemory}
+	for _, operation := range s.running {
+		report.Tasks = append(report.Tasks, placement.TaskObservation{
+			Operation: operation, Status: placement.TaskRunning, Used: used, PowerWatts: jobWattsPerJob,
+		})
+	}
+	for _, operation := range s.finished {
+		report.Tasks = append(report.Tasks, placement.TaskObservation{Operation: operation, Status: placement.TaskDone, Used: used})
+	}
+	s.finished = nil
+	return report
+}
--- /dev/null
+++ b/measure/capacity/host.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/controller"
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/exchange"
+	"github.com/waxwingbridge/waxwingbridge/gateway/control"
+	"github.com/waxwingbridge/waxwingbridge/membership"
+	"github.com/waxwingbridge/waxwingbridge/node"
+)
+
+// step is one recorded tick of a process.
+type step[E any] struct {
+	at     time.Time
+	events []E
+}
+
+// host runs the control systems of one process in a simulated site and records
+// its ticks, so that a replay on a new state costs what the process costs.
+type host[S, E any] struct {
+	identity node.Identity
+	state    *S
+	program  engine.Program[S, E]
+	inbox    []E
+	due      time.Time
+	trace    []step[E]
+	traffic  wire
+}
+
+// wire counts the bytes of the peer exchange and keeps the messages of the
+// measured period.
+type wire struct {
+	sent, received         int
+	sentMessages, messages []membership.Message
+}
+
+// tick runs the systems when an event has arrived or the deadline has passed,
+// as engine.Loop does.
+func (h *host[S, E]) tick(now time.Time) {
+	if len(h.inbox) == 0 && now.Before(h.due) {
+		return
+	}
+	events := h.inbox
+	h.inbox = nil
+	h.trace = append(h.trace, step[E]{now, events})
+	h.program.Step(h.state, engine.Tick{Now: now, Seq: uint64(len(h.trace))}, events...)
+	h.due = h.program.NextDeadline(h.state)
+}
+
+func (h *host[S, E]) post(event E) { h.inbox = append(h.inbox, event) }
+
+func (h *host[S, E]) self() node.Identity { return h.identity }
+
+func (h *host[S, E]) bytes() *wire { return &h.traffic }
+
+// process is a host of either role.
+type process interface {
+	tick(now time.Time)
+	self() node.Identity
+	bytes() *wire
+	observe(event node.Event)
+	receive(message membership.Received)
+	fetched(fetch membership.Fetch, document node.Event)
+}
+
+type gatewayHost struct {
+	host[control.State, control.Event]
+}
+
+func (g *gatewayHost) observe(event node.Event) { g.post(control.Observed{Event: event}) }
+
+func (g *gatewayHost) receive(message membership.Received) {
+	g.post(control.PeerMessage{Received: message})
+}
+
+func (g *gatewayHost) fetched(fetch membership.Fetch, document node.Event) {
+	g.post(control.PeerFetched{Kind: fetch.Kind, Peer: fetch.Peer, Document: document})
+}
+
+type controllerHost struct {
+	host[controller.State, controller.Event]
+}
+
+func (c *controllerHost) observe(event node.Event) { c.post(controller.Observed{Event: event}) }
+
+func (c *controllerHost) receive(message membership.Received) {
+	c.post(controller.PeerMessage{Received: message})
+}
+
+func (c *controllerHost) fetched(fetch membership.Fetch, document node.Event) {
+	c.post(controller.PeerFetched{Fetched: exchange.Fetched{Kind: fetch.Kind, Peer: fetch.Peer}, Document: document})
+}
+
+const siteName = "capacity"
+
+func newGatewayState(identity node.Identity, seed string) *control.State {
+	return control.NewState(node.NewView(siteName, identity), newMembership(identity, seed))
+}
+
+func newControllerState(identity node.Identity, seed string) *controller.State {
+	return controller.NewState(node.NewView(siteName, identity), newMembership(identity, seed))
+}
+
+func newMembership(identity node.Identity, seed string) *membership.State {
+	return membership.New(membership.Options{
+		Self: identity.Member(), Seeds: []string{seed},
+		Documents: []membership.DocumentKind{membership.DocumentConfig, membership.DocumentFleet, membership.DocumentHomes},
+	})
+}
