--- a/controller/requests.go
+++ b/controller/requests.go
@@ -203,6 +203,9 @@
 	if s.View.Policy == nil {
 		return Response{Status: StatusUnavailable, Reason: "no-configuration"}, true
 	}
+	if _, ok := s.View.Policy.Pool(c.ToPool); !ok && c.Kind == fleet.OperationMove {
+		return unknownPool(c.ToPool), true
+	}
 	if !s.disruptionAllowed(tick.Now) {
 		return Response{Status: StatusUnavailable, Reason: string(fleet.ReasonNotAllowed), Detail: s.whyNotAllowed(tick)}, true
 	}
@@ -212,9 +215,6 @@
 	book := budget.Assess(s.Fleet, s.View.Policy, nil)
 	shortage := book.CheckDisrupt(row.Pool, row.AvailabilityZone)
 	if c.Kind == fleet.OperationMove {
-		if _, ok := s.View.Policy.Pool(c.ToPool); !ok {
-			return unknownPool(c.ToPool), true
-		}
 		shortage = book.CheckMove(row.Pool, c.ToPool, row.AvailabilityZone)
 	}
 	if shortage == "" {
--- a/local/local.go
+++ b/local/local.go
@@ -35,6 +35,9 @@
 	RebootTime  time.Duration      // zero means the stand-in's default
 	LogLevel    string
 	Log         io.Writer // nil discards
+	// NoConfig starts the site without a configuration, as a new site is. Its
+	// processes are then not ready, and Start does not wait for them.
+	NoConfig bool
 }
 
 // Site is a running site.
@@ -56,14 +59,14 @@
 		s.Stop(ctx)
 		return nil, err
 	}
-	for number := range options.Controllers {
-		if err := s.startController(number); err != nil {
+	for range options.Controllers {
+		if _, err := s.AddController(nil); err != nil {
 			s.Stop(ctx)
 			return nil, err
 		}
 	}
-	for number := range options.Gateways {
-		if err := s.startGateway(number); err != nil {
+	for range options.Gateways {
+		if _, err := s.AddGateway(nil); err != nil {
 			s.Stop(ctx)
 			return nil, err
 		}
@@ -102,6 +105,9 @@
 // seedConfig writes the first configuration document, which operators would
 // write with waxwingctl.
 func (s *Site) seedConfig(ctx context.Context) error {
+	if s.options.NoConfig {
+		return nil
+	}
 	document := s.options.Config
 	if document == nil {
 		var pools []string
@@ -135,32 +141,45 @@
 	return events.New(s.options.Log, log.ParseLevel(s.options.LogLevel), string(role), incarnation)
 }
 
-func (s *Site) startController(number int) error {
+// AddController starts one more controller and does not wait until it is ready.
+// Change, if not nil, may change its settings before.
+func (s *Site) AddController(change func(*controller.Settings)) (*controller.Controller, error) {
 	incarnation := node.NewIncarnation()
-	c, err := controller.New(&controller.Settings{Process: s.process(number), ListenOperators: "127.0.0.1:0"},
-		s.logger(node.RoleController, incarnation), incarnation)
+	flags := controller.Settings{Process: s.process(len(s.Controllers)), ListenOperators: "127.0.0.1:0"}
+	if change != nil {
+		change(&flags)
+	}
+	c, err := controller.New(&flags, s.logger(node.RoleController, incarnation), incarnation)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s.Controllers = append(s.Controllers, c)
-	return c.Start()
+	return c, c.Start()
 }
 
-func (s *Site) startGateway(number int) error {
+// AddGateway starts one more gateway and does not wait until it is ready.
+// Change, if not nil, may change its settings before.
+func (s *Site) AddGateway(change func(*gateway.Settings)) (*gateway.Gateway, error) {
 	incarnation := node.NewIncarnation()
-	g, err := gateway.New(&gateway.Settings{Process: s.process(number), ListenCallers: "127.0.0.1:0", TrafficShards: 2},
-		s.logger(node.RoleGateway, incarnation), incarnation)
+	flags := gateway.Settings{Process: s.process(len(s.Gateways)), ListenCallers: "127.0.0.1:0", TrafficShards: 2}
+	if change != nil {
+		change(&flags)
+	}
+	g, err := gateway.New(&flags, s.logger(node.RoleGateway, incarnation), incarnation)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s.Gateways = append(s.Gateways, g)
-	return g.Start()
+	return g, g.Start()
 }
 
 const readyPoll = 50 * time.Millisecond
 
 // waitReady waits until every process reports that it is ready.
 func (s *Site) waitReady(ctx context.Context) error {
+	if s.options.NoConfig {
+		return nil
+	}
 	for _, address := range s.adminAddresses() {
 		for !ready(ctx, address) {
 			if err := store.Sleep(ctx, readyPoll); err != nil {
--- a/node/process.go
+++ b/node/process.go
@@ -30,11 +30,12 @@
 
 	Public, Peers, Admin net.Listener
 
-	ctx     context.Context
-	cancel  context.CancelFunc
-	running sync.WaitGroup
-	post    Post
-	servers []*http.Server
+	ctx        context.Context
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+	registered chan struct{} // has room for one signal
+	post       Post
+	servers    []*http.Server
 }
 
 // Options describe a process.
@@ -49,7 +50,7 @@
 
 // NewProcess opens the listeners and prepares the clients. It contacts nobody.
 func NewProcess(options Options) (*Process, error) {
-	p := &Process{Keys: NewKeys(string(options.Settings.Site)), Log: options.Log}
+	p := &Process{Keys: NewKeys(string(options.Settings.Site)), Log: options.Log, registered: make(chan struct{}, 1)}
 	if err := p.listen(options); err != nil {
 		return nil, err
 	}
@@ -118,7 +119,7 @@
 	p.running.Go(func() { p.followLease() })
 	p.running.Go(func() { WatchShared(p.ctx, p.Store, p.Keys, post) })
 	p.running.Go(func() { ListWorkers(p.ctx, p.Platform, WorkerListInterval, post) })
-	p.running.Go(func() { ListMembers(p.ctx, p.Store, p.Keys, post) })
+	p.running.Go(func() { ListMembers(p.ctx, p.Store, p.Keys, MemberListInterval, p.registered, post) })
 	p.running.Go(func() { p.reportStoreCalls() })
 }
 
@@ -162,9 +163,20 @@
 	backoff := &store.Backoff{Base: minWatchBackoff, Max: maxWatchBackoff}
 	for p.Lease.Lease() == lease {
 		err := Register(p.ctx, p.Store, p.Keys, p.Identity, lease)
-		if err == nil || backoff.Wait(p.ctx) != nil {
+		if err == nil {
+			p.signalRegistered()
 			return
 		}
+		if backoff.Wait(p.ctx) != nil {
+			return
+		}
+	}
+}
+
+func (p *Process) signalRegistered() {
+	select {
+	case p.registered <- struct{}{}:
+	default: // a read is due already
 	}
 }
 
--- a/node/registration.go
+++ b/node/registration.go
@@ -34,16 +34,27 @@
 	return result.Err
 }
 
-// ListMembers reads the registrations at an interval until the context
-// ends.
-func ListMembers(ctx context.Context, s store.Store, keys Keys, post Post) {
+// ListMembers reads the registrations at an interval and after each signal of
+// registered until the context ends. The read after the own registration makes
+// sure that of two processes that start at the same time one learns of the
+// other: whichever registers last.
+func ListMembers(ctx context.Context, s store.Store, keys Keys, interval time.Duration, registered <-chan struct{}, post Post) {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for {
 		callContext, cancel := context.WithTimeout(ctx, StoreCallTimeout)
 		members, err := readMembers(callContext, s, keys)
 		cancel()
-		if post(ctx, MembersListed{Members: members, Err: err}) != nil || store.Sleep(ctx, MemberListInterval) != nil {
+		if post(ctx, MembersListed{Members: members, Err: err}) != nil {
 			return
 		}
+		timer.Reset(interval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-registered:
+		case <-timer.C:
+		}
 	}
 }
 
