--- a/measure/property_test.go
+++ b/measure/property_test.go
@@ -263,6 +263,7 @@
 	t.Logf("seed %d", propertySeed)
 	params := gopter.DefaultTestParametersWithSeed(propertySeed)
 	params.MinSuccessfulTests = 150
+	params.MaxShrinkCount = 20 // each shrink runs hours of fake time
 	properties := gopter.NewProperties(params)
 	for _, objective := range []policy.Objective{policy.ObjectiveBuffer, policy.ObjectiveRollout} {
 		properties.Property(string(objective), prop.ForAll(func(seed uint64, events []int) string {
