--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// Guards against a second move that counts on the floor before the first one.
+func TestIncomingWorkerRaisesFloor(t *testing.T) {
+	rows := tables(map[string]int{"a": 8, "spare": 8}, "a", "spare")
+	e := effective(func(d *policy.Document) { d.Defaults.Pool.MinServingShare = 0.75 }, "a", "spare")
+	if err := rows.StartOperation(fleet.Start{Operation: "op", Kind: fleet.OperationMove, Worker: "w008", ToPool: "a"}, testTime); err != nil {
+		t.Fatal(err)
+	}
+	if pool := Assess(rows, e, nil).Pool("a"); pool.Incoming != 1 || pool.Floor != 7 || pool.Slack() != 1 {
+		t.Fatalf("pool with an incoming worker = %+v, want floor 7 of 9", pool)
+	}
+}
+
 // Guards against disruption during a peak, and against unknown demand read as none.
 func TestDemandLimitsSlack(t *testing.T) {
 	rows := tables(map[string]int{"a": 9, "spare": 8}, "a", "spare")
--- a/measure/property_test.go
+++ b/measure/property_test.go
@@ -34,6 +34,7 @@
 	lateCalls bool
 	late      []lateCall
 	removed   map[string]int // workers that the platform took away, per pool
+	premature string         // first call whose intent was not in the store
 }
 
 type lateCall struct {
@@ -43,6 +44,12 @@
 
 func newFaulty(objective policy.Objective, seed uint64) *faulty {
 	l := newLayout([]int{9, 9, 11, 12, 8}, 3, objective)
+	if seed%2 == 1 { // a floor that rises with each borrowed spare but the first
+		doc := policy.Example(l.pools...)
+		doc.Site.Objective = objective
+		doc.Exceptions = append(doc.Exceptions, policy.Exception{Scope: "pool/pool-00", Field: "min_serving_share", Value: 0.9, Reason: "test"})
+		l.effective = policy.Resolve(&doc, epoch)
+	}
 	f := &faulty{site: newSite(l, waves{}, seed, l.rack(seed)), stored: l.document, removed: map[string]int{}}
 	f.call = f.deliver
 	f.begin()
@@ -50,8 +57,12 @@
 	return f
 }
 
-// deliver loses calls or executes them after their timeout.
+// deliver loses calls or executes them after their timeout. It records calls
+// whose intent is not in the store.
 func (f *faulty) deliver(call fleet.Call) error {
+	if !f.intended(call) && f.premature == "" {
+		f.premature = call.Operation
+	}
 	switch {
 	case f.loseCalls:
 		return nil
@@ -63,6 +74,18 @@
 	return f.platform.call(call, f.now)
 }
 
+func (f *faulty) intended(call fleet.Call) bool {
+	states := map[fleet.CallKind]fleet.State{
+		fleet.CallDrain: fleet.Draining, fleet.CallReboot: fleet.Rebooting, fleet.CallUndrain: fleet.Returning, fleet.CallAssign: fleet.Returning,
+	}
+	for i := range f.stored.Workers {
+		if w := &f.stored.Workers[i]; w.ID == call.Worker {
+			return w.Operation != nil && w.State == states[call.Kind] && strings.HasPrefix(call.Operation, w.Operation.ID+"/")
+		}
+	}
+	return false
+}
+
 func (f *faulty) begin() {
 	f.sequence++
 	_ = wave.Begin(f.tables, f.effective, wave.Start{ID: fmt.Sprintf("wave-%d", f.sequence)}, f.now) // refused while one runs
@@ -172,6 +195,9 @@
 	if f.platform.cutOff > 0 {
 		return fmt.Errorf("a reboot was sent with work in flight")
 	}
+	if f.premature != "" {
+		return fmt.Errorf("call %s was sent before its intent was in the store", f.premature)
+	}
 	if f.result.Violations > 0 {
 		return fmt.Errorf("a planned start left a pool below its floor")
 	}
--- a/wave/borrow.go
+++ b/wave/borrow.go
@@ -40,6 +40,7 @@
 		}
 		p.book.Move(p.spare, v.name, spare.AvailabilityZone)
 		p.add(Decision{Kind: DecisionBorrow, Worker: spare.ID, Pool: p.spare, ToPool: v.name})
+		p.reasons[spare.ID] = ReasonLent
 		reason = ReasonBorrowing
 		v.borrowing, v.started = true, true
 		size--
--- a/wave/plan.go
+++ b/wave/plan.go
@@ -233,6 +233,7 @@
 	return v
 }
 
+// scanOperation notes an operation on a worker of the pool.
 func (p *planner) scanOperation(v *poolView, operation *fleet.OperationRow) {
 	if operation.Wave == p.wave.ID {
 		p.pending++
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -34,6 +34,7 @@
 	ReasonReboots       Reason = "reboot-limit"           // max_concurrent_reboots
 	ReasonDomain        Reason = "other-domain-disrupted" // the pool has a disrupted worker in another rack or zone
 	ReasonBorrowing     Reason = "spare-on-its-way"
+	ReasonLent          Reason = "lent-to-other-pool" // a spare that moves into a pool without slack
 	ReasonNoSpare       Reason = "no-spare-available"
 	ReasonSpareReserve  Reason = "spare-reserved" // the joint buffer needs all serving spares
 
@@ -92,6 +93,11 @@
 	return fmt.Sprintf("wave: cannot %s wave %q in status %q", e.Request, e.Wave, e.Status)
 }
 
+// PoolError reports a pool that the configuration does not declare.
+type PoolError struct{ Pool string }
+
+func (e *PoolError) Error() string { return fmt.Sprintf("wave: pool %q is not declared", e.Pool) }
+
 // Start describes a wave to start.
 type Start struct {
 	ID       string
@@ -106,7 +112,7 @@
 	}
 	for _, pool := range start.Pools {
 		if _, ok := effective.Pool(pool); !ok {
-			return &fleet.RequestError{Worker: "", State: "", Reason: fleet.ReasonUnknownPool}
+			return &PoolError{pool}
 		}
 	}
 	t.Wave = &fleet.Wave{
