--- a/gateway/caller_api.go
+++ b/gateway/caller_api.go
@@ -18,6 +18,7 @@
 // Limits of the callers' server.
 const (
 	callerHeaderTimeout = 10 * time.Second
+	callerBodyTimeout   = 30 * time.Second
 	callerIdleTimeout   = 2 * time.Minute
 	maxHeaderBytes      = 64 << 10
 )
@@ -75,11 +76,15 @@
 		t.refuse(c, requestID, refusalOf(outcome.NotRunBecause(outcome.ReasonQueueFull)))
 		return
 	}
+	// Without a bound, slow callers could hold the whole memory for bodies.
+	connection := http.NewResponseController(c.Writer)
+	_ = connection.SetReadDeadline(time.Now().Add(t.bodyTimeout))
 	submission, refused := parseSubmission(c.Writer, c.Request, c.Param("pool"))
 	if refused != nil {
 		t.refuse(c, requestID, refused)
 		return
 	}
+	_ = connection.SetReadDeadline(time.Time{})
 	submission.RequestID = requestID
 	started := time.Now()
 	result := t.serve(c, submission)
--- a/gateway/caller_api_test.go
+++ b/gateway/caller_api_test.go
@@ -200,6 +200,28 @@
 	return response.StatusCode
 }
 
+// Guards against callers that hold memory by sending their bodies slowly.
+func TestSlowBodyIsRefused(t *testing.T) {
+	target := newTestTarget(t, nil)
+	path, url := startTraffic(t, TrafficConfig{}, testSnapshot(target.address()))
+	path.bodyTimeout = 20 * time.Millisecond
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(conn, "POST "+ordersPath+" HTTP/1.1\r\nHost: x\r\nWaxwing-Tenant: acme\r\nContent-Length: 10\r\n\r\nabc")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusBadRequest || target.executions.Load() != 0 || path.buffered.Load() != 0 {
+		t.Errorf("status %d, %d bytes still reserved", response.StatusCode, path.buffered.Load())
+	}
+}
+
 // Guards against issued keys that are not unique or not bound to their issuer.
 func TestIssuedKeys(t *testing.T) {
 	target := newTestTarget(t, nil)
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -56,14 +56,16 @@
 	requests gate // requests of callers and of peers
 	sequence atomic.Uint64
 	buffered atomic.Int64 // bytes of request bodies in memory
+	// bodyTimeout bounds the arrival of a body, which holds a part of maxBuffered.
+	bodyTimeout time.Duration
 
 	context context.Context
 	stop    context.CancelFunc
 	loops   sync.WaitGroup
 }
 
-// NewTraffic returns a request path that refuses everything until Start and the
-// first Publish.
+// NewTraffic returns a request path. Start must be called before its handler is
+// served; requests before the first Publish are refused as not run (not-ready).
 func NewTraffic(config TrafficConfig) *Traffic {
 	if config.Logger == nil {
 		config.Logger = events.Discard()
@@ -74,7 +76,9 @@
 	if config.Report == nil {
 		config.Report = func(traffic.Report) {}
 	}
-	t := &Traffic{config: config, client: newTargetClient(), recorder: newRecorder(config.Metrics)}
+	t := &Traffic{
+		config: config, client: newTargetClient(), recorder: newRecorder(config.Metrics), bodyTimeout: callerBodyTimeout,
+	}
 	t.context, t.stop = context.WithCancel(context.Background())
 	for number := range max(1, config.Shards) {
 		t.shards = append(t.shards, newShard(t, number))
@@ -133,6 +137,9 @@
 		return notRun(outcome.ReasonStopping)
 	}
 	defer t.requests.leave()
+	if submission.RequestID == "" {
+		submission.RequestID = t.requestID()
+	}
 	result := t.execute(ctx, submission)
 	return withoutStream(result)
 }
@@ -181,11 +188,11 @@
 	if t.config.Forwarder == nil {
 		return notRun(outcome.ReasonNoHome)
 	}
-	if submission.Timeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, submission.Timeout+forwardGrace)
-		defer cancel()
+	if pool, ok := t.snapshot.Load().Policy.Pool(submission.Pool); ok && submission.Timeout <= 0 {
+		submission.Timeout = traffic.DefaultTimeout(&pool, submission.Class)
 	}
+	ctx, cancel := context.WithTimeout(ctx, submission.Timeout+forwardGrace)
+	defer cancel()
 	result, err := t.config.Forwarder.ExecuteKeyed(ctx, address, submission)
 	switch {
 	case err == nil:
--- a/gateway/traffic/admit.go
+++ b/gateway/traffic/admit.go
@@ -55,13 +55,14 @@
 func (s *State) setDeadline(tick engine.Tick, id table.ID, request *Request, pool *Pool) {
 	timeout := request.Submission.Timeout
 	if timeout <= 0 {
-		timeout = defaultTimeout(&pool.Policy, request.Class)
+		timeout = DefaultTimeout(&pool.Policy, request.Class)
 	}
 	request.Deadline = tick.Now.Add(timeout)
 	s.deadlines.Put(id, request.Deadline)
 }
 
-func defaultTimeout(pool *policy.Pool, class routing.Class) time.Duration {
+// DefaultTimeout returns the deadline of a class for callers that set none.
+func DefaultTimeout(pool *policy.Pool, class routing.Class) time.Duration {
 	milliseconds := pool.QuickTimeoutMS
 	switch class {
 	case routing.Urgent:
--- a/gateway/traffic/admit_test.go
+++ b/gateway/traffic/admit_test.go
@@ -115,6 +115,36 @@
 	r.pending(r.submit(short))
 }
 
+// Guards against a request that is sent although its deadline passes before the
+// fastest answer, which would make its outcome unknown.
+func TestRequestIsNotSentTooLate(t *testing.T) {
+	r := newRig(t, 1, func(doc *policy.Document) { doc.Defaults.Pool.SlotsPerTarget = 1 })
+	r.submit(nil)
+	r.now = r.now.Add(time.Second)
+	r.end(0, Answered)
+	r.submit(nil)
+	late := r.submit(func(s *Submission) { s.Timeout = 2500 * time.Millisecond })
+	r.now = r.now.Add(2 * time.Second)
+	r.end(1, Answered)
+	r.want(late, outcome.NotRun, outcome.ReasonDeadline)
+}
+
+// Guards against long work that fills all slots in quiet times, so that urgent
+// work cannot start for minutes.
+func TestLongWorkLeavesSlotsForOthers(t *testing.T) {
+	r := newRig(t, 1, nil)
+	for range 20 {
+		r.submit(func(s *Submission) { s.Class = routing.Long })
+	}
+	if n := len(r.sends); n != 4 {
+		t.Errorf("%d of 8 slots hold long work", n)
+	}
+	r.submit(func(s *Submission) { s.Class = routing.Urgent })
+	if n := len(r.sends); n != 5 {
+		t.Error("urgent request does not start")
+	}
+}
+
 // Guards against default deadlines that ignore the class.
 func TestDefaultDeadlineFollowsTheClass(t *testing.T) {
 	r := newRig(t, 1, nil)
--- a/gateway/traffic/adopt.go
+++ b/gateway/traffic/adopt.go
@@ -114,9 +114,7 @@
 		if credit.Slots == target.Credits && credit.Until.Equal(target.CreditsUntil) {
 			continue
 		}
-		s.Pools.Get(target.Pool).Targets.Change(&s.Fleet, id, tick.Now, func(t *routing.Target) {
-			t.Credits, t.CreditsUntil = credit.Slots, credit.Until
-		})
+		s.Pools.Get(target.Pool).Targets.Grant(&s.Fleet, id, credit.Slots, credit.Until, tick.Now)
 	}
 }
 
--- a/gateway/traffic/dispatch.go
+++ b/gateway/traffic/dispatch.go
@@ -34,9 +34,10 @@
 
 func (s *State) dispatchPool(tick engine.Tick, poolID table.ID) {
 	pool := s.Pools.Get(poolID)
-	floor := pool.Policy.LongFloor
+	shares := pool.shares(tick.Now)
 	for {
-		id, ok := pool.Scheduler.Next(&s.rows, floor, pool.longAllowed())
+		shares.LongAllowed = pool.longAllowed()
+		id, ok := pool.Scheduler.Next(&s.rows, &shares)
 		if !ok && !s.fresh(tick.Now) {
 			id = pool.Scheduler.Oldest(routing.Long) // held back by its bound
 			ok = id != 0
@@ -53,12 +54,32 @@
 			s.endWithout(tick, id, request, outcome.ReasonNoHome)
 			continue
 		}
-		if !s.dispatch(tick, id, request, pool) {
+		if tick.Now.Add(pool.service[request.Class].Low(tick.Now)).After(request.Deadline) {
+			// It would end as unknown after using a slot.
+			s.endWithout(tick, id, request, outcome.ReasonDeadline)
+			continue
+		}
+		if !s.dispatch(tick, id, request, pool, &shares) {
 			return
 		}
 	}
 }
 
+// unknownCost stands in for the slot time of a class without observations.
+const unknownCost = 50 * time.Millisecond
+
+func (p *Pool) shares(now time.Time) routing.Shares {
+	shares := routing.Shares{LongFloor: p.Policy.LongFloor}
+	for class := range p.service {
+		cost := p.service[class].Mean(now)
+		if cost <= 0 {
+			cost = unknownCost
+		}
+		shares.Cost[class] = cost.Seconds()
+	}
+	return shares
+}
+
 func (p *Pool) longAllowed() bool {
 	bound := max(1, int(longSlotShare*float64(p.Targets.Capacity)))
 	return p.running[routing.Long] < bound
@@ -66,14 +87,14 @@
 
 // dispatch sends the request or sets it aside. It reports false if the pool has
 // no target for it now.
-func (s *State) dispatch(tick engine.Tick, id table.ID, request *Request, pool *Pool) bool {
+func (s *State) dispatch(tick engine.Tick, id table.ID, request *Request, pool *Pool, shares *routing.Shares) bool {
 	candidate := routing.Candidate{
 		Exclude: request.exclude, Idempotent: request.Submission.Idempotent,
 		Urgent: request.Class == routing.Urgent, Beyond: request.beyond,
 	}
 	choice := routing.Pick(&s.Fleet, &pool.Targets, s.config.Chooser, candidate, tick.Now)
 	if choice.Target != 0 {
-		s.send(tick, id, request, pool, choice)
+		s.send(tick, id, request, pool, choice, shares)
 		return true
 	}
 	if candidate.Exclude == 0 {
@@ -89,8 +110,10 @@
 	return true
 }
 
-func (s *State) send(tick engine.Tick, id table.ID, request *Request, pool *Pool, choice routing.Choice) {
-	pool.Scheduler.Take(&s.rows, id, pool.Policy.LongFloor)
+func (s *State) send(
+	tick engine.Tick, id table.ID, request *Request, pool *Pool, choice routing.Choice, shares *routing.Shares,
+) {
+	pool.Scheduler.Take(&s.rows, id, shares)
 	s.queued--
 	target := s.Fleet.Rows.Get(choice.Target)
 	attempt := s.Attempts.Insert(Attempt{
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -66,6 +66,8 @@
 const (
 	beyondPerRequest = 2
 	beyondShare      = 4 // one attempt in flight for so many targets of the pool
+	beyondPauseLeast = 40 * time.Millisecond
+	beyondPauseMost  = 500 * time.Millisecond
 )
 
 // CreditsFirst uses slot credits, and then a bounded number of tries beyond
@@ -80,7 +82,8 @@
 	if id := acrossZones(fleet, &targets.credited, candidate.Exclude, now); id != 0 {
 		return Choice{Target: id}
 	}
-	if candidate.Beyond >= beyondPerRequest || targets.beyond >= max(1, targets.Reachable/beyondShare) {
+	if candidate.Beyond >= beyondPerRequest || now.Before(targets.resume) ||
+		targets.beyond >= max(1, targets.Reachable/beyondShare) {
 		return Choice{}
 	}
 	id := acrossZones(fleet, &targets.ready, candidate.Exclude, now)
--- a/routing/ejection.go
+++ b/routing/ejection.go
@@ -33,9 +33,11 @@
 
 const (
 	// A refusal keeps the target out for a random time between these bounds. It
-	// is about the time in which one of eight slots becomes free.
-	blockedLeast = 5 * time.Millisecond
-	blockedMost  = 30 * time.Millisecond
+	// is about the time in which one of eight slots becomes free. The bounds
+	// double with each further refusal in a row, up to blockedDoublings times.
+	blockedLeast     = 5 * time.Millisecond
+	blockedMost      = 30 * time.Millisecond
+	blockedDoublings = 3
 	// unknownService stands in for the service time of a pool without answers.
 	unknownService = 50 * time.Millisecond
 )
@@ -45,12 +47,14 @@
 func (p *Targets) Ended(fleet *Fleet, ending Ending, now time.Time) (wasEjected, wasReadmitted bool) {
 	if ending.Choice.Beyond {
 		p.beyond--
+		p.pace(ending.Verdict, now, fleet.Random)
 	}
 	p.Change(fleet, ending.Choice.Target, now, func(t *Target) {
 		atLimit := t.InFlight >= p.limitOf(t)
 		t.InFlight--
 		switch ending.Verdict {
 		case Healthy:
+			t.refusals = 0
 			if atLimit {
 				t.grow(now, p.Limits.most())
 			}
@@ -59,7 +63,9 @@
 			wasEjected = p.failed(t, ending.Service, now, fleet.Random)
 		case Full:
 			t.shrink(now)
-			t.blockedUntil = now.Add(blockedLeast + jitter(fleet.Random, blockedMost-blockedLeast))
+			pause := blockedLeast + jitter(fleet.Random, blockedMost-blockedLeast)
+			t.blockedUntil = now.Add(pause << min(t.refusals, blockedDoublings))
+			t.refusals++
 		case Draining:
 			t.drainingEpoch = t.ServiceEpoch
 		case Neutral:
@@ -68,6 +74,20 @@
 	return wasEjected, wasReadmitted
 }
 
+// pace spreads the tries beyond the credits. Each refusal doubles the pause and
+// each answer halves it, so that a saturated pool sees few tries, and slots that
+// others do not use are found within a few tries.
+func (p *Targets) pace(verdict Verdict, now time.Time, random *rand.Rand) {
+	switch verdict {
+	case Full:
+		p.pause = min(beyondPauseMost, max(beyondPauseLeast, 2*p.pause))
+		p.resume = now.Add(p.pause/2 + jitter(random, p.pause))
+	case Healthy:
+		p.pause /= 2
+	case Failing, Draining, Neutral:
+	}
+}
+
 func (p *Targets) succeeded(t *Target, now time.Time) bool {
 	t.health.record(now, false)
 	p.health.record(now, false)
--- a/routing/scheduler.go
+++ b/routing/scheduler.go
@@ -53,10 +53,17 @@
 // tenants that wait. The zero value is empty.
 type Scheduler[R any] struct {
 	classes [ClassCount]classQueue[R]
-	// longClaim is the number of dispatches that long work is owed.
+	// longClaim is the slot time that long work is owed, in seconds.
 	longClaim float64
 }
 
+// Shares says how long work competes with other classes.
+type Shares struct {
+	LongFloor   float64             // share of the slot time that long work gets while it waits
+	LongAllowed bool                // long work may take another slot
+	Cost        [ClassCount]float64 // expected slot time of a request, in seconds
+}
+
 type classQueue[R any] struct {
 	tenants table.Heap[Tag] // tenants with waiting requests, by start tag
 	age     table.Chain[R]
@@ -129,11 +136,10 @@
 	return true
 }
 
-// Next returns the request that is dispatched next. longAllowed says whether
-// long work may take another slot, and longFloor is its share of dispatches.
-func (s *Scheduler[R]) Next(rows *Rows[R], longFloor float64, longAllowed bool) (table.ID, bool) {
-	long := longAllowed && s.classes[Long].age.Len() > 0
-	if long && s.longClaim+longFloor >= 1 {
+// Next returns the request that is dispatched next.
+func (s *Scheduler[R]) Next(rows *Rows[R], shares *Shares) (table.ID, bool) {
+	long := shares.LongAllowed && s.classes[Long].age.Len() > 0
+	if long && s.longClaim >= (1-shares.LongFloor)*shares.Cost[Long] {
 		return s.head(rows, Long), true
 	}
 	for class := Urgent; class < Long; class++ {
@@ -154,10 +160,10 @@
 
 // Take removes the request that Next returned and charges its tenant for one
 // dispatch.
-func (s *Scheduler[R]) Take(rows *Rows[R], id table.ID, longFloor float64) {
+func (s *Scheduler[R]) Take(rows *Rows[R], id table.ID, shares *Shares) {
 	entry := rows.Entry(rows.Requests.Get(id))
 	class, tenant := &s.classes[entry.Class], rows.Tenants.Get(entry.Tenant)
-	s.claim(entry.Class, longFloor)
+	s.claim(entry.Class, shares)
 	_, class.virtual, _ = class.tenants.Min()
 	tenant.finish[entry.Class] = class.virtual + Tag(1/tenant.Weight)
 	s.Remove(rows, id)
@@ -166,14 +172,16 @@
 	}
 }
 
-func (s *Scheduler[R]) claim(class Class, longFloor float64) {
+// claim settles the floor in slot time. Counted in dispatches, long requests
+// that take a hundred times longer would get nearly all slots.
+func (s *Scheduler[R]) claim(class Class, shares *Shares) {
 	if s.classes[Long].age.Len() == 0 {
 		s.longClaim = 0
 		return
 	}
-	s.longClaim += longFloor
+	s.longClaim += shares.LongFloor * shares.Cost[class]
 	if class == Long {
-		s.longClaim = max(0, s.longClaim-1)
+		s.longClaim = max(0, s.longClaim-shares.Cost[Long])
 	}
 }
 
--- a/routing/scheduler_test.go
+++ b/routing/scheduler_test.go
@@ -34,17 +34,18 @@
 }
 
 // take dispatches count requests and returns how many each tenant and class got.
-func (q *testQueue) take(count int, floor float64) (map[table.ID]int, [ClassCount]int) {
+func (q *testQueue) take(count int, floor, longCost float64) (map[table.ID]int, [ClassCount]int) {
+	shares := &Shares{LongFloor: floor, LongAllowed: true, Cost: [ClassCount]float64{1, 1, longCost}}
 	byTenant, byClass := map[table.ID]int{}, [ClassCount]int{}
 	for range count {
-		id, ok := q.scheduler.Next(&q.rows, floor, true)
+		id, ok := q.scheduler.Next(&q.rows, shares)
 		if !ok {
 			break
 		}
 		entry := &q.requests.Get(id).Entry
 		byTenant[entry.Tenant]++
 		byClass[entry.Class]++
-		q.scheduler.Take(&q.rows, id, floor)
+		q.scheduler.Take(&q.rows, id, shares)
 		q.requests.Delete(id)
 	}
 	return byTenant, byClass
@@ -56,10 +57,10 @@
 	q := newTestQueue()
 	flood, light, heavy := q.tenant(1), q.tenant(1), q.tenant(2)
 	q.push(flood, Quick, 1000)
-	q.take(100, 0)
+	q.take(100, 0, 1)
 	q.push(light, Quick, 200)
 	q.push(heavy, Quick, 200)
-	got, _ := q.take(200, 0)
+	got, _ := q.take(200, 0, 1)
 	if got[flood] < 49 || got[flood] > 51 || got[light] < 49 || got[light] > 51 || got[heavy] < 99 || got[heavy] > 101 {
 		t.Errorf("dispatches of 200 by weight 1, 1, 2 = %d, %d, %d", got[flood], got[light], got[heavy])
 	}
@@ -73,11 +74,19 @@
 	for class := Urgent; class < ClassCount; class++ {
 		q.push(tenant, class, 500)
 	}
-	_, got := q.take(500, 0.1)
+	_, got := q.take(500, 0.1, 1)
 	if got[Quick] != 0 || got[Long] < 49 || got[Long] > 51 {
 		t.Errorf("500 dispatches by class = %v", got)
 	}
-	_, got = newTestQueueWith(Long, 10).take(10, 0)
+	slow := newTestQueue()
+	tenant = slow.tenant(1)
+	slow.push(tenant, Urgent, 1000)
+	slow.push(tenant, Long, 500)
+	_, got = slow.take(910, 0.1, 10) // 900 of slot time 1 and 10 of slot time 10
+	if got[Long] < 9 || got[Long] > 11 {
+		t.Errorf("910 dispatches with slow long work = %v", got)
+	}
+	_, got = newTestQueueWith(Long, 10).take(10, 0, 1)
 	if got[Long] != 10 {
 		t.Errorf("idle dispatches of long work = %v", got)
 	}
--- a/routing/target.go
+++ b/routing/target.go
@@ -25,6 +25,7 @@
 	limit         float64
 	lastFull      time.Time
 	blockedUntil  time.Time // after a refusal
+	refusals      int       // in a row
 	cooling       time.Time // failures occupy the target's load until then
 	coolingUnit   time.Duration
 	health        health
--- a/routing/targets.go
+++ b/routing/targets.go
@@ -55,6 +55,8 @@
 	granted  table.Set             // with credits that have not expired
 	broken   int                   // ejected or half open
 	beyond   int                   // in flight beyond the credits
+	pause    time.Duration         // between tries beyond the credits
+	resume   time.Time             // no such try before
 	health   health
 }
 
@@ -169,6 +171,17 @@
 	})
 }
 
+// Grant records the slot credits for a target. More credits than before raise
+// the local limit to them at once; refusals lower it again.
+func (p *Targets) Grant(fleet *Fleet, id table.ID, slots int, until, now time.Time) {
+	p.Change(fleet, id, now, func(t *Target) {
+		if slots > t.Credits {
+			t.limit = max(t.limit, min(float64(slots), float64(p.Limits.most())))
+		}
+		t.Credits, t.CreditsUntil = slots, until
+	})
+}
+
 // Sent counts an attempt that is handed to the target.
 func (p *Targets) Sent(fleet *Fleet, choice Choice, now time.Time) {
 	if choice.Beyond {
--- a/routing/targets_test.go
+++ b/routing/targets_test.go
@@ -91,14 +91,32 @@
 // never again.
 func TestFullTargetIsLeftAloneForAShortTime(t *testing.T) {
 	p := newTestPool(1, 1, TwoChoices{})
-	p.end(p.pick(Candidate{}), Full)
-	p.advance(blockedLeast - time.Millisecond)
-	if p.pick(Candidate{}).Target != 0 {
-		t.Error("target gets a request at once")
+	for _, doublings := range []int{0, 1, 2, blockedDoublings, blockedDoublings, blockedDoublings} {
+		p.end(p.pick(Candidate{}), Full)
+		p.advance(blockedLeast<<doublings - time.Millisecond)
+		if p.pick(Candidate{}).Target != 0 {
+			t.Fatalf("target gets a request at once, %d doublings", doublings)
+		}
+		p.advance((blockedMost - blockedLeast) << doublings)
+	}
+}
+
+// Guards against a saturated pool that is asked over and over for slots which
+// were not granted.
+func TestRefusedTriesBeyondCreditsArePaced(t *testing.T) {
+	p := newTestPool(40, 6, CreditsFirst{})
+	p.targets.Grant(&p.fleet, p.ids[0], 1, p.now.Add(time.Hour), p.now)
+	p.pick(Candidate{}) // uses the only credit
+	tries := 0
+	for range 2000 {
+		p.advance(5 * time.Millisecond)
+		if choice := p.pick(Candidate{}); choice.Target != 0 {
+			tries++
+			p.end(choice, Full)
+		}
 	}
-	p.advance(blockedMost)
-	if p.pick(Candidate{}).Target == 0 {
-		t.Error("target gets no request after the pause")
+	if most := 10*int(2*time.Second/beyondPauseMost) + 10; tries == 0 || tries > most {
+		t.Errorf("%d refused tries in 10 s, at most %d are allowed", tries, most)
 	}
 }
 
@@ -194,7 +212,7 @@
 func TestCreditsComeFirst(t *testing.T) {
 	p := newTestPool(8, 6, CreditsFirst{})
 	for _, id := range p.ids[:2] {
-		p.targets.Change(&p.fleet, id, p.now, func(t *Target) { t.Credits, t.CreditsUntil = 3, p.now.Add(3*time.Second) })
+		p.targets.Grant(&p.fleet, id, 3, p.now.Add(3*time.Second), p.now)
 	}
 	beyond, within := 0, 0
 	var choices []Choice
