Check the invariants with real processes under faults

The invariant package checks the eight invariants from observed documents, platform operations, executions and outcomes. Package test builds the programs, runs them behind TCP fault proxies with callers at all gateways and steps through docs/fault-matrix.md in ten sites side by side.

--advertise-peers registers an address that differs from the listening one (address translation); the tests put a proxy there. The platform stand-in lists the operations that it executed.

--- /dev/null
+++ b/invariant/violation.go
@@ -0,0 +1,197 @@
+package invariant
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/policy"
+)
+
+// Number identifies an invariant of section 1 of docs/design.md.
+type Number int
+
+// The invariants.
+const (
+	BudgetHolds       Number = iota + 1 // each pool's budget holds through every wave
+	OnePool                             // every VM belongs to exactly one pool
+	WholeAnswer                         // a caller receives the whole answer to its own request
+	NotRunHolds                         // what was told as not run was not run
+	AtMostOnce                          // a non-idempotent request runs at most once
+	LeavingIsLeft                       // a leaving target receives no new work after a few seconds
+	GracefulStop                        // a planned stop cuts off no request in flight
+	ConfigurationHeld                   // an accepted configuration is in force everywhere within seconds and never reverts
+)
+
+// Violation is a broken invariant with its evidence.
+type Violation interface {
+	Invariant() Number
+	fmt.Stringer
+}
+
+type (
+	// BudgetBroken says that a planned operation started in a pool or
+	// availability zone that could not spare the worker.
+	BudgetBroken struct {
+		Pool, AvailabilityZone   string // the zone is empty for the budget of the whole pool
+		Started                  []string
+		Available, Failed, Floor int
+		FleetRevision            uint64
+	}
+	// DocumentBroken says that a fleet document does not list each worker once in one pool.
+	DocumentBroken struct {
+		Worker        string
+		Problem       string
+		FleetRevision uint64
+	}
+	// WrongPool says that a worker outside the pool of a request executed it.
+	WrongPool struct{ Request, Pool, Worker, WorkerPool string }
+	// FleetReverted says that a fleet document with a lower epoch or revision
+	// replaced a higher one in the store.
+	FleetReverted struct{ FromEpoch, FromRevision, ToEpoch, ToRevision uint64 }
+	// AnswerBroken says that a caller got an answer that is not the whole answer
+	// to its request.
+	AnswerBroken struct{ Request, Key, Problem string }
+	// RunDespiteNotRun says that a request was executed although its caller was
+	// told that it was not run.
+	RunDespiteNotRun struct {
+		Request, Key string
+		Reason       outcome.Reason
+		Executions   int
+	}
+	// RunTwice says that a non-idempotent request was executed more than once.
+	RunTwice struct {
+		Request, Key string
+		Executions   int
+	}
+	// ReceivedWhileLeaving says that a target received requests long after it
+	// had begun to leave.
+	ReceivedWhileLeaving struct {
+		Worker        string
+		State         string
+		LeavingFor    string
+		Before, After int // requests that the target had received
+	}
+	// RequestsCut says that a planned stop cut off requests in flight.
+	RequestsCut struct {
+		Worker   string
+		Requests int
+	}
+	// UnplannedOperation says that the platform executed an operation that the
+	// fleet document never announced.
+	UnplannedOperation struct{ Worker, Kind, Operation string }
+	// ConfigReverted says that a process, or the store, went back to a lower revision.
+	ConfigReverted struct {
+		Process  string
+		From, To policy.Revision
+	}
+	// ConfigReplaced says that two accepted changes or two documents share a revision.
+	ConfigReplaced struct {
+		Revision      policy.Revision
+		First, Second string // write IDs
+	}
+	// ConfigLate says that an accepted configuration was not in force in time.
+	ConfigLate struct {
+		Process        string
+		Accepted, Held policy.Revision
+		After          string
+	}
+)
+
+// Invariant implements Violation.
+func (BudgetBroken) Invariant() Number { return BudgetHolds }
+
+// Invariant implements Violation.
+func (DocumentBroken) Invariant() Number { return OnePool }
+
+// Invariant implements Violation.
+func (WrongPool) Invariant() Number { return OnePool }
+
+// Invariant implements Violation.
+func (FleetReverted) Invariant() Number { return OnePool }
+
+// Invariant implements Violation.
+func (AnswerBroken) Invariant() Number { return WholeAnswer }
+
+// Invariant implements Violation.
+func (RunDespiteNotRun) Invariant() Number { return NotRunHolds }
+
+// Invariant implements Violation.
+func (RunTwice) Invariant() Number { return AtMostOnce }
+
+// Invariant implements Violation.
+func (ReceivedWhileLeaving) Invariant() Number { return LeavingIsLeft }
+
+// Invariant implements Violation.
+func (RequestsCut) Invariant() Number { return GracefulStop }
+
+// Invariant implements Violation.
+func (UnplannedOperation) Invariant() Number { return GracefulStop }
+
+// Invariant implements Violation.
+func (ConfigReverted) Invariant() Number { return ConfigurationHeld }
+
+// Invariant implements Violation.
+func (ConfigReplaced) Invariant() Number { return ConfigurationHeld }
+
+// Invariant implements Violation.
+func (ConfigLate) Invariant() Number { return ConfigurationHeld }
+
+func (v BudgetBroken) String() string {
+	scope := "pool " + v.Pool
+	if v.AvailabilityZone != "" {
+		scope += " in " + v.AvailabilityZone
+	}
+	return fmt.Sprintf("fleet revision %d: operations %s started in %s, which has %d available workers (and %d that failed at the same time) and a floor of %d",
+		v.FleetRevision, strings.Join(v.Started, ", "), scope, v.Available, v.Failed, v.Floor)
+}
+
+func (v DocumentBroken) String() string {
+	return fmt.Sprintf("fleet revision %d: worker %q %s", v.FleetRevision, v.Worker, v.Problem)
+}
+
+func (v WrongPool) String() string {
+	return fmt.Sprintf("request %s to pool %s was executed by worker %s of pool %s", v.Request, v.Pool, v.Worker, v.WorkerPool)
+}
+
+func (v FleetReverted) String() string {
+	return fmt.Sprintf("the fleet document went from epoch %d, revision %d to epoch %d, revision %d",
+		v.FromEpoch, v.FromRevision, v.ToEpoch, v.ToRevision)
+}
+
+func (v AnswerBroken) String() string {
+	return fmt.Sprintf("request %s (key %q) got a wrong answer: %s", v.Request, v.Key, v.Problem)
+}
+
+func (v RunDespiteNotRun) String() string {
+	return fmt.Sprintf("request %s (key %q) was told not run (%s), but was executed %d times", v.Request, v.Key, v.Reason, v.Executions)
+}
+
+func (v RunTwice) String() string {
+	return fmt.Sprintf("non-idempotent request %s (key %q) was executed %d times", v.Request, v.Key, v.Executions)
+}
+
+func (v ReceivedWhileLeaving) String() string {
+	return fmt.Sprintf("worker %s (%s) has been leaving for %s, but its received requests rose from %d to %d",
+		v.Worker, v.State, v.LeavingFor, v.Before, v.After)
+}
+
+func (v RequestsCut) String() string {
+	return fmt.Sprintf("a planned stop of worker %s cut off %d requests", v.Worker, v.Requests)
+}
+
+func (v UnplannedOperation) String() string {
+	return fmt.Sprintf("the platform executed %s of worker %s as %q, which no fleet document announced", v.Kind, v.Worker, v.Operation)
+}
+
+func (v ConfigReverted) String() string {
+	return fmt.Sprintf("%s went from configuration revision %d back to %d", v.Process, v.From, v.To)
+}
+
+func (v ConfigReplaced) String() string {
+	return fmt.Sprintf("configuration revision %d was accepted from write %q and from write %q", v.Revision, v.First, v.Second)
+}
+
+func (v ConfigLate) String() string {
+	return fmt.Sprintf("%s holds configuration revision %d; revision %d was accepted %s ago", v.Process, v.Held, v.Accepted, v.After)
+}
--- a/node/process.go
+++ b/node/process.go
@@ -65,6 +65,9 @@
 	for i, url := range options.Settings.Store {
 		urls[i] = string(url)
 	}
+	if advertised := options.Settings.AdvertisePeers; advertised != "" {
+		p.Identity.PeerAddress = string(advertised)
+	}
 	client, err := etcdgateway.New(urls...)
 	if err != nil {
 		p.closeListeners()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -96,6 +96,7 @@
 	Store            []BaseURL       `required:"" help:"Base URLs of the platform's key-value store."`
 	Platform         BaseURL         `required:"" help:"Base URL of the platform's VM and task interface."`
 	ListenPeers      Address         `default:"127.0.0.1:0" help:"ip:port for peers."`
+	AdvertisePeers   Address         `optional:"" help:"ip:port at which peers reach this process, if it differs from --listen-peers (address translation)."`
 	ListenAdmin      Address         `default:"127.0.0.1:0" help:"ip:port for /healthz, /readyz and /metrics."`
 	Peers            []Address       `help:"Peer addresses to contact first."`
 	ShutdownTimeout  ShutdownTimeout `default:"30s" help:"Longest graceful shutdown, 1s to 10m."`
--- a/standin/platform/admin.go
+++ b/standin/platform/admin.go
@@ -15,6 +15,7 @@
 	PathFaults     = "/standin/faults"      // GET reads, PUT replaces Faults
 	PathCalls      = "/standin/calls"       // GET returns Calls
 	PathExecutions = "/standin/executions"  // GET returns the number of starts by job
+	PathOperations = "/standin/operations"  // GET returns the list of ExecutedOperation
 	PathInitiative = "/standin/initiative"  // POST takes an InitiativeRequest
 	PathCutWatches = "/standin/cut-watches" // POST ends all watches of the store
 	PathAddWorkers = "/standin/workers"     // POST adds a list of platform.Worker
@@ -81,6 +82,17 @@
 	return starts
 }
 
+// Operations returns the operations that took effect on workers, in order.
+func (s *Server) Operations() []ExecutedOperation {
+	operations := []ExecutedOperation{}
+	s.control(func(st *state, _ time.Time) {
+		for _, operation := range st.executed.All() {
+			operations = append(operations, *operation)
+		}
+	})
+	return operations
+}
+
 // Take lets the platform act on workers on its own initiative.
 func (s *Server) Take(request InitiativeRequest) {
 	s.control(func(st *state, now time.Time) { st.take(now, request) })
@@ -105,6 +117,9 @@
 	mux.HandleFunc("GET "+PathExecutions, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.Executions())
 	})
+	mux.HandleFunc("GET "+PathOperations, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Operations())
+	})
 	admin(mux, "PUT "+PathFaults, s.SetFaults)
 	admin(mux, "POST "+PathInitiative, func(request InitiativeRequest) error {
 		s.Take(request)
--- a/standin/platform/requests.go
+++ b/standin/platform/requests.go
@@ -140,6 +140,16 @@
 	s.answerAll(operation, nil)
 	if row := s.workers.Get(operation.worker); row != nil && operation.key.kind != requestStart {
 		row.Operation = operation.key.id
+		s.record(ExecutedOperation{Kind: requestNames[operation.key.kind], Worker: row.ID, Operation: operation.key.id})
+	}
+}
+
+// maxExecuted bounds the record of operations.
+const maxExecuted = 1 << 16
+
+func (s *state) record(operation ExecutedOperation) {
+	if s.executed.Len() < maxExecuted {
+		s.executed.Insert(operation)
 	}
 }
 
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -100,6 +100,13 @@
 	waiting []*request
 }
 
+// ExecutedOperation is an operation that took effect on a worker.
+type ExecutedOperation struct {
+	Kind      string `json:"kind"` // drain, undrain, reboot or assign
+	Worker    string `json:"worker"`
+	Operation string `json:"operation"`
+}
+
 type requestRow struct {
 	request *request
 	due     time.Time
@@ -121,6 +128,7 @@
 	taskIDs      table.Index[string] // by operation
 	operations   table.Table[operationRow]
 	operationIDs table.Index[operationKey]
+	executed     table.Table[ExecutedOperation] // in order, at most maxExecuted
 	requests     table.Table[requestRow]
 	arrivals     uint64
 	checkpoints  map[string]time.Duration // progress by job
