Report a stopping gateway as not ready

Cause: /readyz answered ready until the admin listener closed, so the balancer kept sending to a gateway that refuses new requests. Conclusion: readiness ends with the first step of the shutdown.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -42,6 +42,7 @@
 	traffic   *Traffic
 	exchange  *exchange.Exchange
 	published atomic.Pointer[published]
+	stopping  atomic.Bool
 }
 
 // New prepares a gateway. It contacts nobody before Start.
@@ -78,7 +79,7 @@
 		return g.loop.Post(ctx, control.Observed{Event: event})
 	})
 	g.process.Serve(g.process.Public, g.callerHandler())
-	g.process.ServeAdmin(func() string { return g.published.Load().notReady })
+	g.process.ServeAdmin(g.notReady)
 	g.process.Log.Log(events.ProcessStarted, events.F("callers", g.CallerAddress()), events.F("peers", g.PeerAddress()),
 		events.F("admin", g.AdminAddress()))
 	return nil
@@ -96,6 +97,7 @@
 // Stop refuses new requests, finishes those in flight, gives up the homes of
 // keys and ends the process.
 func (g *Gateway) Stop(ctx context.Context) {
+	g.stopping.Store(true)
 	g.process.Log.Log(events.ProcessStopping)
 	if err := g.traffic.Drain(ctx); err != nil {
 		g.process.Log.Log(events.ShutdownTimeout, events.Err(err))
@@ -107,6 +109,15 @@
 	g.process.Log.Log(events.ProcessStopped)
 }
 
+// notReady is what the balancer sees. A stopping gateway leaves the balancer
+// before its listener closes.
+func (g *Gateway) notReady() string {
+	if g.stopping.Load() {
+		return "stopping"
+	}
+	return g.published.Load().notReady
+}
+
 func (g *Gateway) callerHandler() http.Handler {
 	mux := http.NewServeMux()
 	jobs := g.jobHandler()
