--- a/controller/controller.go
+++ b/controller/controller.go
@@ -76,7 +76,7 @@
 	}
 	c.process.Go(c.loop.Run)
 	c.process.Start(func(ctx context.Context, event node.Event) error { return c.loop.Post(ctx, Observed{event}) })
-	c.process.Serve(c.process.Public, c.operatorHandler())
+	c.process.Serve(c.process.Public, node.NewServer(c.operatorHandler()))
 	c.process.ServeAdmin(func() string { return c.published.Load().ready })
 	c.process.Log.Log(events.ProcessStarted, events.F("operators", c.OperatorAddress()), events.F("peers", c.process.Identity.PeerAddress),
 		events.F("admin", c.process.Admin.Addr().String()))
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -78,7 +78,7 @@
 	g.process.Start(func(ctx context.Context, event node.Event) error {
 		return g.loop.Post(ctx, control.Observed{Event: event})
 	})
-	g.process.Serve(g.process.Public, g.callerHandler())
+	g.process.Serve(g.process.Public, NewCallerServer(g.callerHandler()))
 	g.process.ServeAdmin(g.notReady)
 	g.process.Log.Log(events.ProcessStarted, events.F("callers", g.CallerAddress()), events.F("peers", g.PeerAddress()),
 		events.F("admin", g.AdminAddress()))
--- a/node/process.go
+++ b/node/process.go
@@ -211,25 +211,31 @@
 		_, _ = w.Write([]byte("ready\n"))
 	})
 	mux.Handle("GET /metrics", p.Metrics.Handler())
-	p.Serve(p.Admin, mux)
+	p.Serve(p.Admin, NewServer(mux))
 }
 
 // Limits of the HTTP servers. Bodies are bounded by their handlers.
 const (
 	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = time.Minute
 	maxHeaderBytes    = 64 << 10
 )
 
+// NewServer returns an HTTP server for operators or the admin page.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // Serve serves HTTP until the process stops.
-func (p *Process) Serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+func (p *Process) Serve(listener net.Listener, server *http.Server) {
 	p.servers = append(p.servers, server)
 	p.running.Go(func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			p.Log.Log(events.ServerFailed, events.F("address", listener.Addr().String()), events.Err(err))
 		}
 	})
-	return server
 }
 
 // Stop ends the servers gracefully, then the background work, and gives the
