--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -15,10 +15,17 @@
 	if lead.phase != standby || tick.Now.Before(lead.retryAt) || !s.storeReachable(tick.Now) {
 		return
 	}
+	if leader := s.View.Leader; leader.Revision != 0 && leader.Identity.Incarnation == s.View.Self.Incarnation {
+		// A release did not arrive, or a claim that was given up did. The process
+		// keeps its lease, so nothing else would delete the key.
+		lead.retryAt = tick.Now.Add(claimRetry)
+		s.Out.Releases.Add(ReleaseLeader{Revision: leader.Revision})
+		return
+	}
 	if s.View.Leader.Revision != 0 || s.View.Lease == 0 || s.View.LeaseDeadline.Sub(tick.Now) <= callTimeout {
 		return
 	}
-	lead.phase = claiming
+	lead.phase, lead.lease = claiming, s.View.Lease
 	s.Out.Claims.Add(ClaimLeader{Lease: s.View.Lease})
 }
 
@@ -30,7 +37,9 @@
 		s.Lead.phase, s.Lead.retryAt = standby, tick.Now.Add(claimRetry)
 		return
 	}
-	s.Lead = leadership{phase: loading, leaderRevision: e.Revision, quietUntil: tick.Now.Add(takeoverQuiet)}
+	s.Lead = leadership{
+		phase: loading, lease: s.Lead.lease, leaderRevision: e.Revision, quietUntil: tick.Now.Add(takeoverQuiet),
+	}
 	s.Out.Loads.Add(LoadState{})
 }
 
@@ -68,7 +77,7 @@
 	lead.confirmed = lead.confirmed || own
 	switch {
 	case reason != "":
-	case !tick.Now.Before(s.View.LeaseDeadline):
+	case !tick.Now.Before(s.View.LeaseDeadline), s.View.Lease != lead.lease: // a new lease does not carry the leader key
 		reason = "lease-lapsed"
 	case !own && (lead.confirmed || s.View.Leader.Revision > lead.leaderRevision):
 		reason = "leader-replaced"
--- a/controller/state.go
+++ b/controller/state.go
@@ -73,6 +73,7 @@
 // leadership is the state of the active controller's lease.
 type leadership struct {
 	phase          phase
+	lease          store.LeaseID  // under which the leader key was claimed
 	leaderRevision store.Revision // of the own leader key
 	confirmed      bool           // the watch has shown the own leader key
 	quietUntil     time.Time      // no platform call before
