--- a/controller/performer.go
+++ b/controller/performer.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
@@ -44,8 +43,7 @@
 }
 
 // flush hands the effects of a tick to goroutines.
-func (p *performer) flush(s *State, tick engine.Tick) {
-	s.lastTick = tick.Now
+func (p *performer) flush(s *State) {
 	s.Out.Claims.Drain(func(e ClaimLeader) { p.start(p.claim(e)) })
 	s.Out.Releases.Drain(func(e ReleaseLeader) { p.start(p.release(e)) })
 	s.Out.Loads.Drain(func(LoadState) { p.start(p.load) })
@@ -86,8 +84,8 @@
 	var loaded StateLoaded
 	value, err := p.store.Get(ctx, p.keys.Fleet())
 	if err == nil && value.Revision != 0 {
-		loaded.Fleet, loaded.FleetRevision = new(fleet.Document), value.Revision
-		err = json.Unmarshal(value.Data, loaded.Fleet)
+		loaded.FleetRevision = value.Revision
+		loaded.Fleet, err = node.DecodeFleet(value.Data)
 	}
 	for index := 0; index < placement.PageCount && err == nil; index++ {
 		var page placement.PageAt
@@ -100,7 +98,7 @@
 
 func (p *performer) writeFleet(e WriteFleet) func(context.Context) Event {
 	return func(ctx context.Context) Event {
-		data, err := json.Marshal(e.Document)
+		data, err := node.EncodeFleet(&e.Document)
 		if err != nil {
 			return FleetWritten{Document: e.Document, Result: node.WriteResult{Status: node.WriteConflicted, Err: err}}
 		}
