Keep the active controller's refusal and never call an empty address

With the store down, a refusal without an active controller made waxwingctl call an empty base URL and report an unknown result. With the platform down, the standby's refusal hid that of the active controller. Waves that have ended no longer list reasons to wait.

--- a/controller/requests.go
+++ b/controller/requests.go
@@ -121,6 +121,9 @@
 // notActive is the answer of a controller that does not control the fleet.
 func (s *State) notActive() Response {
 	response := Response{Status: StatusNotActive, Reason: "not-active", Detail: "this controller is " + s.Lead.phase.String()}
+	if !s.storeReachable(s.lastTick) {
+		response.Detail += ", and the store is unreachable; nothing was changed"
+	}
 	if leader := s.View.Leader; leader.Revision != 0 && leader.Identity.Incarnation != s.View.Self.Incarnation {
 		response.ActiveController = leader.Identity.PublicAddress
 	}
--- a/ctl/state.go
+++ b/ctl/state.go
@@ -62,6 +62,8 @@
 	failures []Failure
 	refusal  *Reply // last answer with which another controller may still help
 	outcome  *result
+
+	unavailable table.ID // controller that gave the last answer of status 503
 }
 
 type result struct {
@@ -188,18 +190,33 @@
 	call.sending = false
 	switch e.Reply.Status {
 	case http.StatusMisdirectedRequest:
-		call.refusal = &e.Reply
-		if id, ok := s.controller(e.Reply.Active); ok && e.Reply.Active != "" {
-			call.next = id
-		}
+		s.redirect(call, &e.Reply)
 	case http.StatusServiceUnavailable: // not executed
 		call.refusal = &e.Reply
+		call.unavailable, _ = s.controller(e.Reply.Controller)
 	default:
 		s.preferred, _ = s.controller(e.Reply.Controller)
 		call.outcome = &result{reply: e.Reply}
 	}
 }
 
+// redirect follows a reply of a controller that is not active. The refusal of
+// the active controller tells more than that of a standby and is kept.
+func (s *State) redirect(call *callRow, reply *Reply) {
+	if reply.Active == "" {
+		call.refusal = reply // no controller is active
+		return
+	}
+	active, ok := s.controller(reply.Active)
+	if ok && active == call.unavailable {
+		return
+	}
+	call.refusal = reply
+	if ok {
+		call.next = active
+	}
+}
+
 func (e Failed) apply(s *State, _ engine.Tick) {
 	call := s.calls.Get(e.Call)
 	if call == nil {
--- a/ctl/state_test.go
+++ b/ctl/state_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/waxwingbridge/waxwingbridge/controller"
 	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/policy"
+	"github.com/waxwingbridge/waxwingbridge/wave"
 )
 
 // bench steps a state and collects its effects.
@@ -87,6 +89,30 @@
 	b.next("d") // answered last
 }
 
+// Guards against a call to an empty address, and so an unknown result, when the
+// refusals name no active controller.
+func TestRefusalWithoutActiveController(t *testing.T) {
+	b := newBench(t, "a", "b")
+	reply := b.calls(true)
+	b.answers(b.next("a"), http.StatusMisdirectedRequest, "", nil)
+	b.answers(b.next("b"), http.StatusMisdirectedRequest, "", nil)
+	if _, err := (<-reply).value(); !strings.Contains(err.Error(), "no active controller") || len(b.sent) != 0 {
+		t.Errorf("error %v, sent %v", err, b.sent)
+	}
+}
+
+// Guards against a standby's refusal that hides why the active controller
+// refused, such as a platform outage.
+func TestRefusalOfTheActiveControllerIsKept(t *testing.T) {
+	b := newBench(t, "a", "b")
+	reply := b.calls(true)
+	b.answers(b.next("a"), http.StatusServiceUnavailable, "", nil)
+	b.answers(b.next("b"), http.StatusMisdirectedRequest, "a", nil)
+	if _, err := (<-reply).value(); !strings.Contains(err.Error(), "nothing was changed") || len(b.sent) != 0 {
+		t.Errorf("error %v, sent %v", err, b.sent)
+	}
+}
+
 // Guards against a change that is sent twice after its answer was lost.
 func TestChangeWithoutAnswerIsNotRepeated(t *testing.T) {
 	b := newBench(t, "a", "b")
@@ -141,6 +167,14 @@
 	}
 }
 
+// Guards against reasons to wait that are shown for a wave that has ended.
+func TestEndedWaveWaitsForNothing(t *testing.T) {
+	report := &controller.WaveReport{Wave: &fleet.Wave{ID: "1-2", Status: fleet.WaveDone}, Waiting: map[string]wave.Reason{"": "wave-done"}}
+	if text := Text(WaveTable(report)); strings.Contains(text, "waiting") {
+		t.Errorf("table of a wave that is done:\n%s", text)
+	}
+}
+
 // Guards against text of operators that breaks the columns or controls the terminal.
 func TestTablesCleanText(t *testing.T) {
 	table := HistoryTable([]policy.Document{{Revision: 3, Author: "a\tb\x1b[2J", Comment: ""}})
--- a/ctl/tables.go
+++ b/ctl/tables.go
@@ -168,6 +168,9 @@
 	}
 	addWave(t, r.Wave)
 	t.add("workers", fmt.Sprintf("%d maintained, %d in progress, %d pending", r.Maintained, r.InProgress, r.Pending))
+	if r.Wave.Status == fleet.WaveDone || r.Wave.Status == fleet.WaveAborted {
+		return t // nothing of it waits any more
+	}
 	for _, pool := range sortedNames(r.Waiting) {
 		name := pool
 		if name == "" {
