Name field, value and accepted range in refusals of job calls

Refusals carry Waxwing-Outcome and Waxwing-Reason like those of the request path, oversized bodies are 413, unknown paths and methods answer in JSON, and the tenant has the same form as on the request path.

--- a/gateway/caller_api_test.go
+++ b/gateway/caller_api_test.go
@@ -11,7 +11,7 @@
 		w.Header().Set("X-Path", r.URL.RequestURI())
 		w.WriteHeader(http.StatusCreated)
 	})
-	_, url := startTraffic(t, TrafficConfig{}, testSnapshot(target.address()))
+	url := startTraffic(t, TrafficConfig{}, testSnapshot(target.address()))
 	got := call(t, http.MethodPost, url+"/v1/pools/orders/a%2Fb/c?x=1", "body")
 	wantOutcome(t, got, http.StatusCreated, "completed", "")
 	if path := got.header.Get("X-Path"); path != "/a%2Fb/c?x=1" {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -55,7 +55,7 @@
 }
 
 // startTraffic runs a request path with its front end on loopback.
-func startTraffic(t testing.TB, config TrafficConfig, snapshot *traffic.Snapshot) (*Traffic, string) {
+func startTraffic(t testing.TB, config TrafficConfig, snapshot *traffic.Snapshot) string {
 	t.Helper()
 	if config.Incarnation == "" {
 		config.Incarnation = "gw1"
@@ -73,7 +73,7 @@
 		path.Stop()
 		server.Close()
 	})
-	return path, server.URL
+	return server.URL
 }
 
 // answer is the whole answer to a caller.
@@ -95,6 +95,12 @@
 		name, value, _ := strings.Cut(header, ": ")
 		request.Header[name] = append(request.Header[name], value)
 	}
+	return do(t, request)
+}
+
+// do sends a request and reads the whole answer.
+func do(t testing.TB, request *http.Request) answer {
+	t.Helper()
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
--- a/gateway/job_api.go
+++ b/gateway/job_api.go
@@ -1,13 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -18,7 +14,6 @@
 )
 
 const (
-	maxJobBytes  = 64 << 10
 	jobTimeout   = 8 * time.Second // above the time that a submission waits for its page
 	maxRedirects = 2
 )
@@ -50,12 +45,28 @@
 	Detail   string `json:"detail,omitempty"`
 	Worker   string `json:"worker,omitempty"`
 	Attempts uint32 `json:"attempts"`
+	// Header or Field, Value and Accepted name the cause of a bad request, if one
+	// value is at fault.
+	Header   string `json:"header,omitempty"`
+	Field    string `json:"field,omitempty"`
+	Value    string `json:"value,omitempty"`
+	Accepted string `json:"accepted,omitempty"`
 }
 
 func (g *Gateway) jobHandler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.Recovery())
+	router.HandleMethodNotAllowed = true
+	router.NoRoute(func(c *gin.Context) {
+		refuseJob(c, jobRefusal{status: http.StatusNotFound, detail: "no such path; jobs are at /v1/jobs and /v1/jobs/{id}"})
+	})
+	router.NoMethod(func(c *gin.Context) {
+		refuseJob(c, jobRefusal{
+			status: http.StatusMethodNotAllowed,
+			detail: fmt.Sprintf("method %q is not accepted; POST /v1/jobs, GET and DELETE /v1/jobs/{id} are", c.Request.Method),
+		})
+	})
 	router.POST("/v1/jobs", g.submitJob)
 	router.GET("/v1/jobs/:id", g.jobByID(g.exchange.GetJob))
 	router.DELETE("/v1/jobs/:id", g.jobByID(g.exchange.CancelJob))
@@ -67,12 +78,12 @@
 	if !ok {
 		return
 	}
-	request, err := readJob(c)
-	if err == nil {
-		err = request.check()
+	request, refused := readJob(c)
+	if refused == nil {
+		refused = request.check()
 	}
-	if err != nil {
-		refuseJob(c, http.StatusBadRequest, outcome.ReasonBadRequest, err.Error())
+	if refused != nil {
+		refuseJob(c, *refused)
 		return
 	}
 	job := request.submission(tenant)
@@ -84,45 +95,6 @@
 	})
 }
 
-func readJob(c *gin.Context) (*JobRequest, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxJobBytes))
-	if err != nil {
-		return nil, fmt.Errorf("body: must be at most %d bytes", maxJobBytes)
-	}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	request := &JobRequest{Class: "long"}
-	if err := decoder.Decode(request); err != nil {
-		return nil, fmt.Errorf("body: %w", err)
-	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return nil, fmt.Errorf("body: data after the JSON value")
-	}
-	return request, nil
-}
-
-const (
-	maxMilliCores = 1_000_000
-	maxRunTimeMS  = 30 * 24 * 60 * 60 * 1000
-)
-
-// check reports the first field that is out of range; the controller checks the
-// rest against the pool.
-func (r *JobRequest) check() error {
-	switch {
-	case r.Class != "urgent" && r.Class != "quick" && r.Class != "long":
-		return fmt.Errorf("class: %q is unknown; accepted: urgent, quick, long", r.Class)
-	case r.Pool == "":
-		return fmt.Errorf("pool: must be set")
-	case r.MilliCores == 0 || r.MilliCores > maxMilliCores:
-		return fmt.Errorf("milli_cores: %d is not a number from 1 to %d", r.MilliCores, maxMilliCores)
-	case r.RunTimeMS < 0 || r.RunTimeMS > maxRunTimeMS:
-		return fmt.Errorf("run_time_ms: %d is not a number from 0 to %d", r.RunTimeMS, maxRunTimeMS)
-	default:
-		return nil
-	}
-}
-
 func (r *JobRequest) submission(tenant string) peerapi.JobSubmission {
 	return peerapi.JobSubmission{
 		ID: r.ID, Tenant: tenant, Pool: r.Pool, Class: r.Class, Family: r.Family, MilliCores: r.MilliCores, MemoryMB: r.MemoryMB,
@@ -132,15 +104,6 @@
 	}
 }
 
-func jobTenant(c *gin.Context) (string, bool) {
-	tenant := strings.TrimSpace(c.GetHeader("Waxwing-Tenant"))
-	if tenant == "" {
-		refuseJob(c, http.StatusBadRequest, outcome.ReasonBadRequest, "header Waxwing-Tenant must be set")
-		return "", false
-	}
-	return tenant, true
-}
-
 func (g *Gateway) jobByID(call func(context.Context, string, peerapi.JobReference) peerapi.JobAnswer) gin.HandlerFunc {
 	return func(c *gin.Context) {
 		tenant, ok := jobTenant(c)
@@ -171,9 +134,9 @@
 		}
 		address = answer.ActiveController
 	}
-	c.JSON(jobStatus(answer.Outcome), JobBody{
+	writeJob(c, jobStatus(answer.Outcome), JobBody{
 		ID: id, Outcome: answer.Outcome.Kind.String(), Reason: string(answer.Outcome.Reason), State: answer.State,
-		Detail: answer.Detail, Worker: answer.Worker, Attempts: answer.Attempts,
+		Detail: jobDetail(answer), Worker: answer.Worker, Attempts: answer.Attempts,
 	})
 }
 
@@ -193,7 +156,3 @@
 		return http.StatusUnprocessableEntity
 	}
 }
-
-func refuseJob(c *gin.Context, status int, reason outcome.Reason, detail string) {
-	c.JSON(status, JobBody{Outcome: outcome.NotRun.String(), Reason: string(reason), Detail: detail})
-}
--- /dev/null
+++ b/gateway/job_request.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/waxwingbridge/waxwingbridge/outcome"
+	"github.com/waxwingbridge/waxwingbridge/peerapi"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/settings"
+)
+
+// Accepted ranges of a submission. The controller checks the rest against the pool.
+const (
+	maxJobBytes     = 64 << 10
+	maxMilliCores   = 1_000_000
+	maxRunTimeMS    = 30 * 24 * 60 * 60 * 1000
+	maxJobIDLength  = placement.MaxNameBytes
+	acceptedName    = "a name of 1 to 32 characters a-z, 0-9 and -, starting with a letter or digit"
+	acceptedClasses = "one of urgent, quick, long"
+)
+
+// jobRefusal is a call about a job that ends in the gateway.
+type jobRefusal struct {
+	status                         int
+	detail                         string
+	header, field, value, accepted string
+}
+
+func badField(field, value, accepted string) *jobRefusal {
+	return &jobRefusal{
+		status: http.StatusBadRequest, field: field, value: value, accepted: accepted,
+		detail: fmt.Sprintf("field %s has the value %s; accepted is %s", field, value, accepted),
+	}
+}
+
+// jobTenant returns the tenant of a call and answers a call without a valid one.
+func jobTenant(c *gin.Context) (string, bool) {
+	tenant, refused := single(c.Request, headerTenant, acceptedName)
+	if refused == nil && !settings.ValidName(tenant) {
+		refused = badHeader(headerTenant, tenant, acceptedName)
+	}
+	if refused != nil {
+		refuseJob(c, jobRefusal{
+			status: refused.status, detail: refused.Message, header: refused.Header, value: refused.Value, accepted: refused.Accepted,
+		})
+		return "", false
+	}
+	return tenant, true
+}
+
+func readJob(c *gin.Context) (*JobRequest, *jobRefusal) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxJobBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &jobRefusal{
+			status: http.StatusRequestEntityTooLarge, detail: fmt.Sprintf("the body is larger than %d bytes", maxJobBytes),
+		}
+	case err != nil:
+		return nil, &jobRefusal{status: http.StatusBadRequest, detail: "the body ended early or is malformed"}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	request := &JobRequest{Class: "long"}
+	if err := decoder.Decode(request); err != nil {
+		return nil, malformedJob(err)
+	}
+	if _, err := decoder.Token(); err != io.EOF { //nolint:errorlint // Token returns io.EOF itself
+		return nil, &jobRefusal{status: http.StatusBadRequest, detail: "the body has data after the JSON object"}
+	}
+	return request, nil
+}
+
+// acceptedKinds describes the JSON fields whose Go type alone refuses values.
+var acceptedKinds = map[string]string{
+	"milli_cores":  fmt.Sprintf("a whole number from 1 to %d", maxMilliCores),
+	"run_time_ms":  fmt.Sprintf("a whole number from 0 to %d", int64(maxRunTimeMS)),
+	"memory_mb":    "a whole number from 0 to 4294967295",
+	"accelerators": "a whole number from 0 to 4294967295",
+	"priority":     "a whole number from -2147483648 to 2147483647",
+}
+
+// malformedJob names the field and the accepted values where the decoder knows them.
+func malformedJob(err error) *jobRefusal {
+	var typed *json.UnmarshalTypeError
+	if errors.As(err, &typed) && typed.Field != "" {
+		accepted, known := acceptedKinds[typed.Field]
+		if !known {
+			accepted = "a JSON " + typed.Type.String()
+		}
+		return badField(typed.Field, strings.TrimPrefix(typed.Value, "number "), accepted)
+	}
+	return &jobRefusal{status: http.StatusBadRequest, detail: "the body is not a JSON object of a job: " + strings.TrimPrefix(err.Error(), "json: ")}
+}
+
+// check reports the first field that is out of range.
+func (r *JobRequest) check() *jobRefusal {
+	switch {
+	case len(r.ID) > maxJobIDLength || strings.ContainsFunc(r.ID, notInJobID):
+		return badField("id", strconv.Quote(r.ID), fmt.Sprintf("up to %d printable ASCII characters without spaces and /", maxJobIDLength))
+	case !settings.ValidName(r.Pool):
+		return badField("pool", strconv.Quote(r.Pool), acceptedName)
+	case r.Class != "urgent" && r.Class != "quick" && r.Class != "long":
+		return badField("class", strconv.Quote(r.Class), acceptedClasses)
+	case r.MilliCores == 0 || r.MilliCores > maxMilliCores:
+		return badField("milli_cores", strconv.FormatUint(uint64(r.MilliCores), 10), acceptedKinds["milli_cores"])
+	case r.RunTimeMS < 0 || r.RunTimeMS > maxRunTimeMS:
+		return badField("run_time_ms", strconv.FormatInt(r.RunTimeMS, 10), acceptedKinds["run_time_ms"])
+	default:
+		return r.checkTexts()
+	}
+}
+
+// checkTexts reports the first text that is too long to be stored.
+func (r *JobRequest) checkTexts() *jobRefusal {
+	for _, text := range []struct {
+		field, value string
+		most         int
+	}{
+		{"family", r.Family, placement.MaxNameBytes},
+		{"availability_zone", r.AvailabilityZone, placement.MaxNameBytes},
+		{"payload", r.Payload, placement.MaxPayloadBytes},
+	} {
+		if len(text.value) > text.most {
+			return badField(text.field, fmt.Sprintf("a text of %d bytes", len(text.value)), fmt.Sprintf("up to %d bytes", text.most))
+		}
+	}
+	return nil
+}
+
+// notInJobID refuses characters that would need escaping in paths and logs.
+func notInJobID(r rune) bool { return r <= ' ' || r > '~' || r == '/' }
+
+// jobDetails explain the reasons of the controller for which it gives no detail.
+var jobDetails = map[outcome.Reason]string{
+	outcome.ReasonUnknownPool: "field pool names no pool of the configuration",
+	"too-large":               "milli_cores, memory_mb or accelerators exceed what a worker of the pool offers to jobs",
+	"quota-too-small":         "milli_cores exceeds the whole quota of the tenant (job_cores)",
+	outcome.ReasonQuota:       "the tenant has as many waiting jobs as its quota allows (jobs_pending)",
+	"no-worker-in-zone":       "the pool has no worker in the availability_zone",
+	"no-accelerator":          "no worker of the pool has as many accelerators",
+	"no-workers":              "the pool has no workers",
+	"job-mismatch":            "the id was used for a job with other content",
+	"page-full":               "the site holds too many jobs; repeat later or with another id",
+	"not-found":               "the tenant has no job with this id",
+}
+
+func jobDetail(answer peerapi.JobAnswer) string {
+	if answer.Detail != "" || answer.Outcome.Kind != outcome.NotRun {
+		return answer.Detail
+	}
+	return jobDetails[answer.Outcome.Reason]
+}
+
+func refuseJob(c *gin.Context, refused jobRefusal) {
+	if refused.status == http.StatusRequestEntityTooLarge {
+		c.Header("Connection", "close") // the rest of the body is not read
+	}
+	writeJob(c, refused.status, JobBody{
+		Outcome: outcome.NotRun.String(), Reason: string(outcome.ReasonBadRequest), Detail: refused.detail,
+		Header: refused.header, Field: refused.field, Value: refused.value, Accepted: refused.accepted,
+	})
+}
+
+// writeJob answers with the same outcome headers as the request path.
+func writeJob(c *gin.Context, status int, body JobBody) {
+	c.Header(headerOutcome, body.Outcome)
+	if body.Reason != "" {
+		c.Header(headerReason, body.Reason)
+	}
+	c.JSON(status, body)
+}
