Log what happens to jobs

The controller logged only quarantines of the events 700-707. Placement now announces finished, failed, unknown, parked and preempted jobs and throttles for the power cap as effects, and a controller system logs them. The rows are written where the state changes, so the cost is O(changed).

--- /dev/null
+++ b/controller/job_log_test.go
@@ -0,0 +1,66 @@
+package controller
+
+import (
+	"testing"
+
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+)
+
+// Guards against an announced change that gets no log event or the wrong one,
+// or that loses the names that an operator searches for.
+func TestJobChangesAreLogged(t *testing.T) {
+	for _, test := range []struct {
+		change placement.Change
+		event  events.Event
+		fields map[string]any
+	}{
+		{
+			placement.Change{Kind: placement.ChangeFinished, Job: placement.View{ID: "j", Tenant: "t", State: placement.JobDone}},
+			events.JobFinished,
+			map[string]any{"job": "j", "tenant": "t", "state": "done"},
+		},
+		{
+			placement.Change{Kind: placement.ChangeUnknown, Job: placement.View{ID: "j", Worker: "w001", Reason: placement.ReasonWorkerLost}},
+			events.JobUnknown,
+			map[string]any{"worker": "w001", "reason": "worker-lost"},
+		},
+		{
+			placement.Change{Kind: placement.ChangeParked, Job: placement.View{ID: "j", Reason: placement.ReasonNoZone}},
+			events.JobParked,
+			map[string]any{"reason": "no-worker-in-zone"},
+		},
+		{
+			placement.Change{Kind: placement.ChangeFailed, Job: placement.View{ID: "j", Detail: "exit 1"}, FailedOn: []string{"w001", "w002"}},
+			events.JobFailed,
+			map[string]any{"detail": "exit 1", "failed_on": "w001,w002"},
+		},
+		{
+			placement.Change{Kind: placement.ChangePreempted, Job: placement.View{ID: "j"}, Action: placement.ActionCheckpoint, UrgentID: "u"},
+			events.JobPreempted,
+			map[string]any{"action": "checkpoint", "urgent_job": "u"},
+		},
+		{
+			placement.Change{Kind: placement.ChangePowerShed, Throttled: 2, CapWatts: 100},
+			events.PowerCapThrottling,
+			map[string]any{"throttled": 2, "cap_watts": 100},
+		},
+	} {
+		m := newMachine(t)
+		m.state.Jobs.Out.Changes.Add(test.change)
+		m.step(0)
+		fields := map[string]any{}
+		for _, record := range m.logs {
+			if record.Event == test.event {
+				for _, field := range record.Fields {
+					fields[field.Key] = field.Value
+				}
+			}
+		}
+		for name, want := range test.fields {
+			if fields[name] != want {
+				t.Errorf("event %d: field %s is %v, want %v", test.event.Number, name, fields[name], want)
+			}
+		}
+	}
+}
--- a/controller/systems.go
+++ b/controller/systems.go
@@ -31,6 +31,7 @@
 	)
 	systems = append(systems, engine.Lift(func(s *State) *placement.State { return s.Jobs }, placement.Systems)...)
 	return append(systems,
+		engine.System[State]{Name: "log job changes", Run: logJobChanges},
 		engine.System[State]{Name: "follow quarantines", Run: followQuarantines},
 		engine.System[State]{Name: "commit fleet", Run: commitFleet},
 		engine.System[State]{Name: "answer requests", Run: answerRequests},
--- a/placement/effects.go
+++ b/placement/effects.go
@@ -78,6 +78,7 @@
 	Renewals    table.Outbound[RenewTasks]
 	Answers     table.Outbound[Answer]
 	Quarantines table.Outbound[QuarantineChange]
+	Changes     table.Outbound[Change]
 }
 
 // View is a copy of what callers and operators see of a job.
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -51,6 +51,7 @@
 	s.Counters.Preemptions++
 	for _, a := range plan.throttle {
 		s.throttle(a, s.jobs.Get(a.Job), now)
+		s.announcePreempted(a, job)
 	}
 	if len(plan.checkpoint) == 0 {
 		s.beginAttempt(id, job, plan.worker, reserve, now)
@@ -58,6 +59,7 @@
 	}
 	for _, a := range plan.checkpoint {
 		s.control(a, ActionCheckpoint, now)
+		s.announcePreempted(a, job)
 	}
 	job.Reason, job.preemptUntil = ReasonPreempting, now.Add(preemptRepeatInterval)
 	row, _ := s.workerByName.Get(plan.worker.Name)
--- a/placement/shed.go
+++ b/placement/shed.go
@@ -27,6 +27,7 @@
 		return
 	}
 	s.shedAt = tick.Now
+	throttles, checkpoints := s.Counters.PowerThrottles, s.Counters.PowerCheckpoints
 	candidates := s.shedCandidates()
 	excess := func(wanted int) int { return s.expectedDraw() + wanted - limit }
 	s.shedWhile(candidates, tick.Now, func(c shedCandidate) bool { return excess(wanted) > 0 && c.job.Class < ClassUrgent },
@@ -35,6 +36,7 @@
 		s.checkpointForPower)
 	s.shedWhile(candidates, tick.Now, func(c shedCandidate) bool { return excess(0) > 0 && c.job.Class == ClassUrgent },
 		s.throttleForPower)
+	s.announceShed(throttles, checkpoints)
 }
 
 type shedCandidate struct {
--- a/placement/state.go
+++ b/placement/state.go
@@ -162,7 +162,9 @@
 // tenant's count of waiting jobs.
 func (s *State) setState(id table.ID, job *Job, state JobState, reason Reason) {
 	s.leaveWaiting(id, job)
+	former := job.State
 	job.State, job.Reason = state, reason
+	s.announceState(job, former)
 	switch state {
 	case JobPending:
 		s.waitingByPool.Add(job.Pool, id)
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -60,6 +60,7 @@
 	starts      []StartTask
 	controls    []ControlTask
 	quarantines []QuarantineChange
+	changes     []Change
 	checked     map[string]bool // attempts whose limits were checked
 	violation   string
 }
@@ -119,6 +120,7 @@
 	out.Controls.Drain(w.control)
 	out.Renewals.Drain(w.renew)
 	out.Quarantines.Drain(func(q QuarantineChange) { w.quarantines = append(w.quarantines, q) })
+	out.Changes.Drain(func(c Change) { w.changes = append(w.changes, c) })
 }
 
 // advance moves the clock, runs what is due on the way and ticks at deadlines.
