--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -95,6 +95,12 @@
 		name, value, _ := strings.Cut(header, ": ")
 		request.Header[name] = append(request.Header[name], value)
 	}
+	return do(t, request)
+}
+
+// do sends a request and reads the whole answer.
+func do(t testing.TB, request *http.Request) answer {
+	t.Helper()
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
