--- a/command/ctl.go
+++ b/command/ctl.go
@@ -50,10 +50,11 @@
 	const program = "waxwingctl"
 	var flags ctlSettings
 	parsed, err := settings.Parse(program, "Command line of the operators of a site.", args, &flags, stdout, stderr)
-	if err == nil {
-		err = runCtl(&flags, parsed.Run, stdin, stdout)
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "%s: %v; see %s --help\n", program, err, program) // nothing else can report it
+		return exitFailure
 	}
-	if err == nil {
+	if err = runCtl(&flags, parsed.Run, stdin, stdout); err == nil {
 		return exitOK
 	}
 	_, _ = fmt.Fprintf(stderr, "%s: %v\n", program, err) // nothing else can report it
--- a/command/ctl_fleet.go
+++ b/command/ctl_fleet.go
@@ -14,19 +14,19 @@
 		Pool settings.Name `env:"-" help:"Only the workers of this pool."`
 	}
 	maintainCommand struct {
-		Worker workerName `arg:""`
+		Worker workerName `arg:"" help:"ID of the worker, as in vms."`
 		Reason reasonText `env:"-" required:"" help:"Why the worker is maintained; recorded with the operation."`
 	}
 	drainCommand struct {
-		Worker workerName `arg:""`
+		Worker workerName `arg:"" help:"ID of the worker, as in vms."`
 		Reason reasonText `env:"-" help:"Why the worker is drained; recorded with the operation."`
 	}
 	returnCommand struct {
-		Worker workerName `arg:""`
+		Worker workerName `arg:"" help:"ID of the worker, as in vms."`
 	}
 	moveCommand struct {
-		Worker workerName    `arg:""`
-		Pool   settings.Name `arg:""`
+		Worker workerName    `arg:"" help:"ID of the worker, as in vms."`
+		Pool   settings.Name `arg:"" help:"Pool that gets the worker."`
 		Reason reasonText    `env:"-" help:"Why the worker is moved; recorded with the operation."`
 	}
 	waveCommands struct {
@@ -51,7 +51,7 @@
 		Tenant settings.Name `env:"-" help:"Only the jobs of this tenant."`
 	}
 	cancelCommand struct {
-		Job jobName `arg:""`
+		Job jobName `arg:"" help:"ID of the job, as in jobs."`
 	}
 	explainCommand struct {
 		Kind string `arg:"" enum:"worker,job" help:"worker or job."`
--- a/command/ctl_input_test.go
+++ b/command/ctl_input_test.go
@@ -36,6 +36,7 @@
 		args []string
 		want string
 	}{
+		{[]string{"frobnicate"}, "unexpected argument frobnicate; see waxwingctl --help"},
 		{[]string{"status", "--colour"}, "unknown flag --colour"},
 		{[]string{"status", "--output", "yaml"}, `"table","json"`},
 		{[]string{"status", "--controller", "localhost"}, "http://host:port"},
--- a/controller/job_log.go
+++ b/controller/job_log.go
@@ -12,6 +12,7 @@
 	placement.ChangeFinished: events.JobFinished, placement.ChangeFailed: events.JobFailed,
 	placement.ChangeUnknown: events.JobUnknown, placement.ChangeParked: events.JobParked,
 	placement.ChangePreempted: events.JobPreempted, placement.ChangePowerShed: events.PowerCapThrottling,
+	placement.ChangeQuarantineCapped: events.QuarantineCapped,
 }
 
 var actionNames = map[placement.ControlAction]string{
@@ -26,7 +27,10 @@
 }
 
 func jobFields(change *placement.Change) []events.Field {
-	if change.Kind == placement.ChangePowerShed {
+	switch change.Kind {
+	case placement.ChangeQuarantineCapped:
+		return []events.Field{events.F("worker", change.Worker)}
+	case placement.ChangePowerShed:
 		return []events.Field{
 			events.F("throttled", change.Throttled), events.F("checkpointed", change.Checkpointed),
 			events.F("expected_watts", change.ExpectedWatts), events.F("cap_watts", change.CapWatts),
--- a/controller/job_log_test.go
+++ b/controller/job_log_test.go
@@ -45,6 +45,11 @@
 			events.PowerCapThrottling,
 			map[string]any{"throttled": 2, "cap_watts": 100},
 		},
+		{
+			placement.Change{Kind: placement.ChangeQuarantineCapped, Worker: "w003"},
+			events.QuarantineCapped,
+			map[string]any{"worker": "w003"},
+		},
 	} {
 		m := newMachine(t)
 		m.state.Jobs.Out.Changes.Add(test.change)
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -86,6 +86,7 @@
 	WorkerReleased     = Event{705, log.InfoLevel, "worker was released from quarantine"}
 	PowerCapThrottling = Event{706, log.WarnLevel, "power cap reached, tasks are throttled"}
 	JobPreempted       = Event{707, log.InfoLevel, "job was preempted by urgent work"}
+	QuarantineCapped   = Event{708, log.WarnLevel, "worker at fault stays in service, the quarantine cap or the pool's budget is reached"}
 )
 
 // Catalogue lists every event. docs/events.md has one row for each of them.
@@ -101,5 +102,6 @@
 		DrainSlow, WorkerStateChanged, WaveStarted, WaveHalted, WaveDone, WaveChanged, PlatformUnavailable,
 		PlatformAvailable, BudgetExceededByFault, WorkerAdded, WorkerRemoved,
 		JobFinished, JobUnknown, JobParked, JobFailed, WorkerQuarantined, WorkerReleased, PowerCapThrottling, JobPreempted,
+		QuarantineCapped,
 	}
 }
--- a/placement/announce.go
+++ b/placement/announce.go
@@ -5,23 +5,26 @@
 
 // The kinds of change that operators are told about.
 const (
-	ChangeFinished  ChangeKind = iota + 1 // done or cancelled
-	ChangeFailed                          // failed for good
-	ChangeUnknown                         // may have run, is not started again
-	ChangeParked                          // cannot run in the present fleet
-	ChangePreempted                       // throttled or checkpointed for an urgent job
-	ChangePowerShed                       // tasks were throttled or checkpointed to hold the power cap
+	ChangeFinished         ChangeKind = iota + 1 // done or cancelled
+	ChangeFailed                                 // failed for good
+	ChangeUnknown                                // may have run, is not started again
+	ChangeParked                                 // cannot run in the present fleet
+	ChangePreempted                              // throttled or checkpointed for an urgent job
+	ChangePowerShed                              // tasks were throttled or checkpointed to hold the power cap
+	ChangeQuarantineCapped                       // a worker at fault stays in service
 )
 
 // Change announces a decision about jobs. It is an effect for the log: a change
 // whose page is not yet committed may be announced again after a takeover.
 type Change struct {
 	Kind     ChangeKind
-	Job      View          // empty for ChangePowerShed
+	Job      View          // empty for ChangePowerShed and ChangeQuarantineCapped
 	FailedOn []string      // different workers on which the job failed
 	Action   ControlAction // ChangePreempted
 	UrgentID string        // ChangePreempted: the job that gets the room
 
+	Worker string // ChangeQuarantineCapped
+
 	Throttled, Checkpointed int // ChangePowerShed: number of tasks
 	ExpectedWatts, CapWatts int // ChangePowerShed: draw with the relief, and the cap
 }
--- a/placement/announce_test.go
+++ b/placement/announce_test.go
@@ -99,6 +99,20 @@
 	expect(t, "action", w.changes[0].Action, ActionThrottle)
 }
 
+// Guards against a worker that fails everything and stays in service because of
+// the quarantine cap, without a word to the operators.
+func TestCappedQuarantineIsAnnounced(t *testing.T) {
+	w := quietWorld(4) // a cap of 0.2 allows no quarantine
+	x := w.state.worker("orders-w0")
+	for _, id := range []string{"a", "b", "c"} {
+		w.state.recordFailure(&Job{Spec: spec(id)}, x, w.now)
+	}
+	w.step()
+	if len(w.changes) != 1 || w.changes[0].Kind != ChangeQuarantineCapped || w.changes[0].Worker != "orders-w0" {
+		t.Errorf("announced %+v", w.changes)
+	}
+}
+
 // Guards against throttles for the power cap that operators do not learn of.
 func TestPowerShedIsAnnounced(t *testing.T) {
 	w := quietWorld(1, func(d *policy.Document) { d.Site.PowerCapWatts = 1000 })
--- a/placement/quarantine.go
+++ b/placement/quarantine.go
@@ -53,6 +53,7 @@
 		}
 		if !s.mayQuarantine(w) {
 			s.Counters.QuarantinesCapped++
+			s.Out.Changes.Add(Change{Kind: ChangeQuarantineCapped, Worker: name})
 			continue
 		}
 		row, _ := s.workerByName.Get(name)
