Read the compressed fleet document in the process tests

Cause: after the merge of the compressed document the observer of the process tests decoded plain JSON, saw no worker and every site ran into its limit.

--- a/test/observer_test.go
+++ b/test/observer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/invariant"
+	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	standin "github.com/waxwingbridge/waxwingbridge/standin/platform"
 	"github.com/waxwingbridge/waxwingbridge/standin/target"
@@ -81,8 +81,8 @@
 func (o *observer) seeValue(value store.Value) {
 	switch value.Key {
 	case o.site.documentKeys.Fleet():
-		document := new(fleet.Document)
-		if json.Unmarshal(value.Data, document) != nil {
+		document, err := node.DecodeFleet(value.Data)
+		if err != nil {
 			return
 		}
 		o.mu.Lock()
