--- a/controller/queries.go
+++ b/controller/queries.go
@@ -250,7 +250,7 @@
 
 func (QueryConfig) execute(s *State, _ engine.Tick, r *Request) {
 	if s.View.Config == nil {
-		s.answer(r, Response{Status: StatusUnavailable, Reason: "no-configuration"})
+		s.answer(r, noConfiguration())
 		return
 	}
 	s.answer(r, Response{Status: StatusDone, Value: s.View.Config})
--- a/controller/requests.go
+++ b/controller/requests.go
@@ -204,7 +204,7 @@
 		return unknownWorker(c.Worker), true
 	}
 	if s.View.Policy == nil {
-		return Response{Status: StatusUnavailable, Reason: "no-configuration"}, true
+		return noConfiguration(), true
 	}
 	if _, ok := s.View.Policy.Pool(c.ToPool); !ok && c.Kind == fleet.OperationMove {
 		return unknownPool(c.ToPool), true
@@ -288,11 +288,19 @@
 	s.awaitCommit(r, tick, OperationStarted{Operation: start.Operation, Worker: c.Worker})
 }
 
+func noConfiguration() Response {
+	return Response{Status: StatusUnavailable, Reason: "no-configuration", Detail: "the site has no configuration yet; apply one first"}
+}
+
 func (c ControlWave) execute(s *State, tick engine.Tick, r *Request) {
-	if !s.Active() || s.View.Policy == nil {
+	if !s.Active() {
 		s.answer(r, s.notActive())
 		return
 	}
+	if s.View.Policy == nil {
+		s.answer(r, noConfiguration())
+		return
+	}
 	for _, pool := range c.Pools {
 		if _, ok := s.View.Policy.Pool(pool); !ok {
 			s.answer(r, unknownPool(pool))
@@ -308,7 +316,11 @@
 		s.answer(r, response)
 		return
 	}
-	s.View.Log(events.WaveChanged, events.F("action", c.Action), events.F("wave", s.Fleet.Wave.ID), events.F("operator", r.Operator))
+	event := events.WaveChanged
+	if c.Action == WaveStart {
+		event = events.WaveStarted
+	}
+	s.View.Log(event, events.F("action", c.Action), events.F("wave", s.Fleet.Wave.ID), events.F("operator", r.Operator))
 	s.awaitCommit(r, tick, *s.Fleet.Wave)
 }
 
--- a/controller/state.go
+++ b/controller/state.go
@@ -117,6 +117,8 @@
 	requests    table.Table[request]
 	arrived     []Request
 	waitReasons map[string]wave.Reason // per pool, of the last plan
+	belowBudget map[string]bool        // pools that were reported
+	budgetsSeen uint64                 // fleet version that reportBudgets knows
 	planAt      time.Time
 	configWrite *pendingConfig
 
@@ -133,7 +135,7 @@
 
 // NewState returns the state of a controller that knows nothing yet.
 func NewState(view *node.View, peers *membership.State) *State {
-	s := &State{View: view, Peers: peers, waitReasons: map[string]wave.Reason{}}
+	s := &State{View: view, Peers: peers, waitReasons: map[string]wave.Reason{}, belowBudget: map[string]bool{}}
 	s.Jobs = placement.New(placement.Config{
 		Incarnation: view.Self.Incarnation, CallTimeout: callTimeout, MayQuarantine: s.mayQuarantine,
 	})
--- a/controller/systems.go
+++ b/controller/systems.go
@@ -26,6 +26,7 @@
 		engine.System[State]{Name: "advance operations", Run: advanceOperations},
 		engine.System[State]{Name: "sample demand", Run: sampleDemand},
 		engine.System[State]{Name: "plan wave", Run: planWave},
+		engine.System[State]{Name: "report budgets", Run: reportBudgets},
 		engine.System[State]{Name: "feed jobs", Run: feedJobs},
 		engine.System[State]{Name: "list tasks", Run: listTasks},
 	)
