--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -55,7 +55,7 @@
 }
 
 // startTraffic runs a request path with its front end on loopback.
-func startTraffic(t testing.TB, config TrafficConfig, snapshot *traffic.Snapshot) string {
+func startTraffic(t testing.TB, config TrafficConfig, snapshot *traffic.Snapshot) (*Traffic, string) {
 	t.Helper()
 	if config.Incarnation == "" {
 		config.Incarnation = "gw1"
@@ -73,7 +73,7 @@
 		path.Stop()
 		server.Close()
 	})
-	return server.URL
+	return path, server.URL
 }
 
 // answer is the whole answer to a caller.
