--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -41,7 +41,10 @@
 	serverIdleTime       = time.Minute      // before the server closes a silent connection; longer than idleCallTime
 	dialTimeout          = time.Second
 	exchangeTimeout      = time.Second
-	fetchTimeout         = 2 * time.Second // below membership.FetchTimeout, so that the result is known before the next try
+	// closeGrace lets callers end their streams after the last answer: drpc reports
+	// a call as failed if the transport closes between its answer and its end.
+	closeGrace   = 100 * time.Millisecond
+	fetchTimeout = 2 * time.Second // below membership.FetchTimeout, so that the result is known before the next try
 )
 
 // Event is posted to the owner's control loop. Exactly one field is set.
@@ -220,6 +223,10 @@
 // Calls to other processes end with their own contexts.
 func (e *Exchange) Close(ctx context.Context) error {
 	err := e.serving.drain(ctx)
+	select {
+	case <-time.After(closeGrace):
+	case <-ctx.Done():
+	}
 	e.starting.Lock()
 	e.cancel()
 	e.starting.Unlock()
