Borrow spares step by step and give all of them back

Cause: after the first borrowed spare a pool no longer counted as without slack, so it was maintained one worker at a time; and a rotation that was aborted after its reboot left its spare borrowed for good.

--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -41,22 +41,27 @@
 	return nil
 }
 
-// changePool moves the worker and keeps the count of borrowed spares: a move of
-// a wave borrows, a rotation gives back.
+// changePool moves the worker and keeps the count of borrowed spares: a rotation
+// gives back, a move of a wave borrows, or gives back when it leaves a pool that
+// owes spares. The spare pool itself never owes any.
 func (t *Tables) changePool(row *WorkerRow, operation *OperationRow, pool string) {
 	from := row.Pool
 	t.setPool(row, pool)
 	if operation.Wave == "" {
 		return
 	}
+	debtor := t.pool(from)
 	switch operation.Kind {
 	case OperationMove:
-		t.pool(pool).Borrowed++
+		if debtor.Borrowed > 0 {
+			debtor.Borrowed--
+		} else {
+			t.pool(pool).Borrowed++
+		}
 		if t.Wave != nil && t.Wave.ID == operation.Wave {
 			t.Wave.Moves++
 		}
 	case OperationRotate:
-		debtor := t.pool(from)
 		debtor.Borrowed = max(0, debtor.Borrowed-1)
 	}
 }
--- a/measure/account.go
+++ b/measure/account.go
@@ -66,6 +66,9 @@
 		s.result.Moves++
 		s.result.Borrowed++
 	}
+	if decision.Kind == wave.DecisionGiveBack {
+		s.result.Moves++
+	}
 	if decision.Worker == "" {
 		return
 	}
@@ -112,7 +115,7 @@
 		}
 	}
 	for _, operation := range s.tables.Operations.All() {
-		if operation.Kind == fleet.OperationMove {
+		if operation.Kind == fleet.OperationMove && operation.ToPool != "spare" {
 			held++
 		}
 	}
--- a/wave/borrow.go
+++ b/wave/borrow.go
@@ -27,7 +27,7 @@
 	if size == 0 {
 		return ReasonBorrowing
 	}
-	size = max(size, size-1+p.slots(v, row))
+	size = max(size, size-1+p.slots(v)-v.owed-v.incoming)
 	reason := ReasonNoSpare
 	for _, spare := range spares {
 		if size == 0 || p.freeSpares() < 1 {
@@ -43,29 +43,68 @@
 		p.reasons[spare.ID] = ReasonLent
 		reason = ReasonBorrowing
 		v.borrowing, v.started = true, true
+		v.incoming++
 		size--
 	}
 	return reason
 }
 
+// needsSpares reports whether only spares give the pool slack for its waiting
+// workers: it has none even when all its workers serve, or it borrowed fewer
+// spares than it should. The spare pool often cannot lend them all at once,
+// because its floor sinks only as its workers leave.
+func (p *planner) needsSpares(v *poolView, row *fleet.WorkerRow) bool {
+	if v.name == p.spare {
+		return false
+	}
+	have := v.owed + v.incoming
+	return p.book.Structural(v.name, row.AvailabilityZone) || have > 0 && have < min(p.slots(v), p.unstarted(v))
+}
+
 // slots is how many slots the pool should borrow. The rollout objective takes
 // enough for a whole failure domain. The buffer objective takes the fewest with
-// which the pool needs no more rounds than the pools with slack of their own.
-func (p *planner) slots(v *poolView, row *fleet.WorkerRow) int {
+// which the pool needs at most one round more than the pools with slack of their
+// own, because the last spare that evens them out is held for most of the wave.
+func (p *planner) slots(v *poolView) int {
+	domains := p.unmaintained(v.name)
+	most := 1
+	for _, count := range domains {
+		most = max(most, count)
+	}
 	if p.view.Effective.Site().Objective == policy.ObjectiveRollout {
-		return p.waitingIn(v, p.domain(row))
+		return most
+	}
+	if p.rounds == 0 { // no other pool to keep pace with
+		return 1
+	}
+	slots := 1
+	for slots < most && roundsOf(domains, slots) > p.rounds+1 {
+		slots++
 	}
-	return roundsOf(len(v.waiting), p.rounds)
+	return slots
 }
 
-func (p *planner) waitingIn(v *poolView, domain fleet.RackKey) int {
-	count := 0
-	for _, row := range v.waiting {
-		if p.domain(row) == domain {
-			count++
+// giveBack moves workers to the spare pool when the pool owes spares and no
+// worker is left that could rotate. It happens after a rotation whose worker
+// came back to its own pool, and costs a move.
+func (p *planner) giveBack(v *poolView) {
+	t := p.view.Tables
+	for _, id := range t.WorkersOfPool(v.name) {
+		if v.owed < 1 {
+			return
+		}
+		row := t.Workers.Get(id)
+		if !row.Available() || len(v.open) > 0 && !v.open[p.domain(row)] {
+			continue
+		}
+		if p.book.CheckMove(v.name, p.spare, row.AvailabilityZone) != budget.ShortageNone {
+			continue
 		}
+		p.book.Move(v.name, p.spare, row.AvailabilityZone)
+		p.add(Decision{Kind: DecisionGiveBack, Worker: row.ID, Pool: v.name, ToPool: p.spare})
+		v.open[p.domain(row)] = true
+		v.owed--
 	}
-	return count
 }
 
 // freeSpares is how many spares may leave the spare pool without touching the
--- a/wave/plan.go
+++ b/wave/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/budget"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
@@ -128,8 +129,7 @@
 			continue
 		}
 		pools = append(pools, pool)
-		waiting := p.waiting(pool)
-		rounds[pool] = roundsOf(waiting, p.book.Pool(pool).Full())
+		rounds[pool] = roundsOf(p.unmaintained(pool), p.book.Pool(pool).Full())
 		if !p.tight(pool) {
 			p.rounds = max(p.rounds, rounds[pool])
 		}
@@ -147,17 +147,26 @@
 	return pools
 }
 
-func roundsOf(waiting, slack int) int { return (waiting + max(slack, 1) - 1) / max(slack, 1) }
+// roundsOf is the number of rounds that a pool with the slack needs, when each
+// round disrupts one failure domain.
+func roundsOf(domains map[fleet.RackKey]int, slack int) int {
+	rounds := 0
+	for _, count := range domains {
+		rounds += (count + max(slack, 1) - 1) / max(slack, 1)
+	}
+	return rounds
+}
 
-func (p *planner) waiting(pool string) int {
-	count := 0
+// unmaintained counts the workers of the pool that the wave has not maintained
+// yet, by failure domain.
+func (p *planner) unmaintained(pool string) map[fleet.RackKey]int {
+	domains := map[fleet.RackKey]int{}
 	for _, id := range p.view.Tables.WorkersOfPool(pool) {
-		row := p.view.Tables.Workers.Get(id)
-		if row.Available() && row.MaintainedAt.Before(p.wave.StartedAt) {
-			count++
+		if row := p.view.Tables.Workers.Get(id); row.MaintainedAt.Before(p.wave.StartedAt) {
+			domains[p.domain(row)]++
 		}
 	}
-	return count
+	return domains
 }
 
 // tight reports whether the pool has no slack of its own.
@@ -202,13 +211,16 @@
 
 // poolView is what the planner needs to know of one pool.
 type poolView struct {
-	name      string
-	waiting   []*fleet.WorkerRow // serving and not maintained yet, by ID
-	open      map[fleet.RackKey]bool
-	owed      int // borrowed spares that no rotation in progress replaces
-	borrowing bool
-	started   bool
-	reason    Reason // of the first worker that could not start
+	name       string
+	waiting    []*fleet.WorkerRow // serving and not maintained yet, by ID
+	open       map[fleet.RackKey]bool
+	owed       int // borrowed spares that no operation in progress gives back
+	incoming   int // spares on their way into the pool
+	faulted    int // workers that may wait again once they recover
+	operations int // operations of waves on workers of the pool
+	borrowing  bool
+	started    bool
+	reason     Reason // of the first worker that could not start
 }
 
 func (p *planner) scan(pool string) *poolView {
@@ -228,6 +240,15 @@
 		if row.State == fleet.Suspected || row.State == fleet.Unknown {
 			p.pending++ // becomes serving or failed
 		}
+		if operation == nil && p.mayRecover(row) {
+			v.faulted++
+		}
+	}
+	for _, id := range t.WorkersOfPool(p.spare) {
+		operation := t.Operation(t.Workers.Get(id))
+		if operation != nil && operation.Kind == fleet.OperationMove && operation.Wave != "" && operation.ToPool == pool && !operation.Aborted {
+			v.incoming++
+		}
 	}
 	slices.SortFunc(v.waiting, func(a, b *fleet.WorkerRow) int { return strings.Compare(a.ID, b.ID) })
 	return v
@@ -238,7 +259,11 @@
 	if operation.Wave == p.wave.ID {
 		p.pending++
 	}
-	if operation.Kind == fleet.OperationRotate && operation.ToPool != v.name && !operation.Aborted {
+	if operation.Kind == fleet.OperationMaintain || operation.Kind == fleet.OperationRotate {
+		v.operations++
+	}
+	givesBack := operation.Kind == fleet.OperationRotate || operation.Kind == fleet.OperationMove && operation.Wave != ""
+	if givesBack && operation.ToPool != v.name && !operation.Aborted {
 		v.owed--
 	}
 }
@@ -258,8 +283,25 @@
 	if len(v.waiting) > 0 && !v.started {
 		p.add(Decision{Kind: DecisionWait, Pool: pool, Reason: v.reason})
 	}
+	if pool != p.spare && v.owed > 0 && v.idle() {
+		p.giveBack(v)
+	}
+	p.pending += max(0, v.owed) + v.incoming // the wave ends with all spares given back
 }
 
+// recoveryTime is how long a spare stays borrowed for the rotation of a faulted
+// worker. Repair or replacement by the platform takes about half of it.
+const recoveryTime = 30 * time.Minute
+
+// mayRecover reports whether the faulted worker is likely to serve again and to
+// be maintained.
+func (p *planner) mayRecover(row *fleet.WorkerRow) bool {
+	return !row.State.Available() && row.MaintainedAt.Before(p.wave.StartedAt) && p.view.Now.Sub(row.Since) < recoveryTime
+}
+
+// idle reports that no worker of the pool is left to be maintained.
+func (v *poolView) idle() bool { return len(v.waiting) == 0 && v.faulted == 0 && v.operations == 0 }
+
 // byDomain groups the waiting workers by failure domain: domains that are open
 // already first, then those with the most waiting workers, then by name.
 func (p *planner) byDomain(v *poolView) [][]*fleet.WorkerRow {
@@ -293,23 +335,26 @@
 
 // planWorker starts the maintenance of the worker if the limits allow it.
 func (p *planner) planWorker(v *poolView, row *fleet.WorkerRow) {
-	if p.room < 1 {
+	shortage := p.book.CheckDisrupt(v.name, row.AvailabilityZone)
+	short := shortage == budget.ShortagePool || shortage == budget.ShortageZone
+	switch {
+	case short && p.needsSpares(v, row): // borrowing reboots nothing and does not need room
+		p.refuse(v, row, p.borrow(v, row))
+		return
+	case p.room < 1:
 		p.refuse(v, row, p.limit)
 		return
 	}
-	shortage := p.book.CheckDisrupt(v.name, row.AvailabilityZone)
-	if shortage == budget.ShortagePool || shortage == budget.ShortageZone {
-		if v.name != p.spare && p.book.Structural(v.name, row.AvailabilityZone) {
-			p.refuse(v, row, p.borrow(v, row))
-			return
-		}
-	}
 	if shortage != budget.ShortageNone {
 		p.refuse(v, row, Reason(shortage))
 		return
 	}
 	decision := Decision{Kind: DecisionMaintain, Worker: row.ID, Pool: v.name}
-	if v.owed > 0 && p.unstarted(v) <= v.owed && v.name != p.spare {
+	if debt := v.owed + v.incoming; debt > 0 && p.unstarted(v) <= debt && v.name != p.spare {
+		if v.owed < 1 { // a rotation needs a spare that has arrived
+			p.refuse(v, row, ReasonBorrowing)
+			return
+		}
 		decision.Kind, decision.ToPool = DecisionRotate, p.spare
 		if shortage = p.book.CheckMove(v.name, p.spare, row.AvailabilityZone); shortage != budget.ShortageNone {
 			p.refuse(v, row, Reason(shortage))
@@ -328,7 +373,7 @@
 }
 
 // unstarted counts the waiting workers that this plan has not started. The last
-// ones rotate, so that one borrowed spare serves for the whole pool.
+// ones rotate, so that a few borrowed spares serve for the whole pool.
 func (p *planner) unstarted(v *poolView) int {
 	count := 0
 	for _, row := range v.waiting {
--- a/wave/plan_test.go
+++ b/wave/plan_test.go
@@ -64,7 +64,7 @@
 		steps = []fleet.Step{
 			{Kind: fleet.StepCommit, State: fleet.Drained},
 			{Kind: fleet.StepCommit, State: fleet.Returning, Pool: pool},
-			{Kind: fleet.StepFinish, State: fleet.Serving, BootID: 2},
+			{Kind: fleet.StepFinish, State: fleet.Serving, BootID: row.BootID + 1},
 		}
 	}
 	for _, step := range steps {
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -65,12 +65,13 @@
 
 // The kinds of decision.
 const (
-	DecisionMaintain DecisionKind = "maintain" // drain, reboot and return Worker
-	DecisionBorrow   DecisionKind = "borrow"   // move the spare Worker into pool ToPool
-	DecisionRotate   DecisionKind = "rotate"   // maintain Worker, which then takes a borrowed spare's place in ToPool
-	DecisionWait     DecisionKind = "wait"     // Pool has pending workers of which none can start
-	DecisionHalt     DecisionKind = "halt"     // halt the wave
-	DecisionDone     DecisionKind = "done"     // every worker in scope is maintained
+	DecisionMaintain DecisionKind = "maintain"  // drain, reboot and return Worker
+	DecisionBorrow   DecisionKind = "borrow"    // move the spare Worker into pool ToPool
+	DecisionRotate   DecisionKind = "rotate"    // maintain Worker, which then takes a borrowed spare's place in ToPool
+	DecisionGiveBack DecisionKind = "give-back" // move Worker into the spare pool ToPool in place of a borrowed spare
+	DecisionWait     DecisionKind = "wait"      // Pool has pending workers of which none can start
+	DecisionHalt     DecisionKind = "halt"      // halt the wave
+	DecisionDone     DecisionKind = "done"      // every worker in scope is maintained
 )
 
 // Decision is one result of a plan.
@@ -188,6 +189,7 @@
 func Apply(t *fleet.Tables, decision Decision, operation string, now time.Time) error {
 	kinds := map[DecisionKind]fleet.OperationKind{
 		DecisionMaintain: fleet.OperationMaintain, DecisionBorrow: fleet.OperationMove, DecisionRotate: fleet.OperationRotate,
+		DecisionGiveBack: fleet.OperationMove,
 	}
 	switch decision.Kind {
 	case DecisionWait:
