Start the canary in the smallest failure domain

Cause: the canary takes a whole round of its pool, and in the largest domain the rest of it needed a further round.

--- a/wave/plan.go
+++ b/wave/plan.go
@@ -303,7 +303,8 @@
 func (v *poolView) idle() bool { return len(v.waiting) == 0 && v.faulted == 0 && v.operations == 0 }
 
 // byDomain groups the waiting workers by failure domain: domains that are open
-// already first, then those with the most waiting workers, then by name.
+// already first, then those with the most waiting workers, then by name. The
+// canary takes a whole round of its pool and starts in the smallest domain.
 func (p *planner) byDomain(v *poolView) [][]*fleet.WorkerRow {
 	groups := map[fleet.RackKey][]*fleet.WorkerRow{}
 	for _, row := range v.waiting {
@@ -321,7 +322,11 @@
 		return 1
 	}
 	slices.SortFunc(ordered, func(a, b []*fleet.WorkerRow) int {
-		return cmp.Or(cmp.Compare(closed(a), closed(b)), cmp.Compare(len(b), len(a)), strings.Compare(a[0].ID, b[0].ID))
+		bySize := cmp.Compare(len(b), len(a))
+		if p.limit == ReasonCanary {
+			bySize = -bySize
+		}
+		return cmp.Or(cmp.Compare(closed(a), closed(b)), bySize, strings.Compare(a[0].ID, b[0].ID))
 	})
 	return ordered
 }
