--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -80,6 +80,11 @@
 	row.OperationID = 0
 }
 
+// widenStep is by how much each clean result widens a wave after its canary, so
+// that a clean batch quadruples the width. With 1 most of the first rounds of a
+// small site pass before the budgets, and not the width, limit the wave.
+const widenStep = 3
+
 func (t *Tables) countClean(operation *OperationRow) {
 	wave := t.Wave
 	if wave == nil || wave.ID != operation.Wave {
@@ -90,7 +95,7 @@
 	most := max(t.Workers.Len(), 1)
 	switch {
 	case wave.Width > wave.Canary && wave.BatchFailures == 0:
-		wave.Width = min(wave.Width+1, most)
+		wave.Width = min(wave.Width+widenStep, most)
 	case wave.Streak >= wave.Width: // the canary or the batch after a failure was clean
 		wave.Width = min(2*wave.Width, most)
 		wave.Streak, wave.BatchFailures = 0, 0
--- a/wave/borrow.go
+++ b/wave/borrow.go
@@ -94,7 +94,7 @@
 			return
 		}
 		row := t.Workers.Get(id)
-		if !row.Available() || len(v.open) > 0 && !v.open[p.domain(row)] {
+		if !row.Available() || !onlyOpen(v.open, p.domain(row)) {
 			continue
 		}
 		if p.book.CheckMove(v.name, p.spare, row.AvailabilityZone) != budget.ShortageNone {
@@ -138,7 +138,7 @@
 		spare := t.Workers.Get(id)
 		switch {
 		case !spare.Available() || p.planned(spare.ID):
-		case len(open) > 0 && !open[p.domain(spare)]:
+		case !onlyOpen(open, p.domain(spare)):
 		case zoneOnly && spare.AvailabilityZone != row.AvailabilityZone:
 		default:
 			spares = append(spares, spare)
--- a/wave/borrow_test.go
+++ b/wave/borrow_test.go
@@ -80,3 +80,21 @@
 		t.Errorf("the next wave needed %d moves, want rotations only", moves)
 	}
 }
+
+// Guards against a wave that disrupts two racks of a pool because an operator
+// drains a worker in another rack than the wave does.
+func TestOperatorsDrainOpensNoRack(t *testing.T) {
+	v := view(t, nil)
+	v.Tables.Wave.Width = 50
+	for worker, wave := range map[string]string{"a00": "wave", "a04": ""} {
+		start := fleet.Start{Operation: "op-" + worker, Kind: fleet.OperationDrain, Worker: worker, Wave: wave}
+		if err := v.Tables.StartOperation(start, v.Now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, decision := range Plan(v) {
+		if decision.Pool == "a" && decision.Worker != "" {
+			t.Errorf("plan starts %+v beside two disrupted racks", decision)
+		}
+	}
+}
--- a/wave/plan.go
+++ b/wave/plan.go
@@ -273,7 +273,7 @@
 	for _, rows := range p.byDomain(v) {
 		key := p.domain(rows[0])
 		for _, row := range rows {
-			if len(v.open) > 0 && !v.open[key] {
+			if !onlyOpen(v.open, key) {
 				p.refuse(v, row, ReasonDomain)
 				continue
 			}
@@ -302,6 +302,12 @@
 // idle reports that no worker of the pool is left to be maintained.
 func (v *poolView) idle() bool { return len(v.waiting) == 0 && v.faulted == 0 && v.operations == 0 }
 
+// onlyOpen reports whether a disruption in the domain leaves the pool disrupted
+// in one domain. A drain by an operator may have opened a second one.
+func onlyOpen(open map[fleet.RackKey]bool, domain fleet.RackKey) bool {
+	return len(open) == 0 || len(open) == 1 && open[domain]
+}
+
 // byDomain groups the waiting workers by failure domain: domains that are open
 // already first, then those with the most waiting workers, then by name. The
 // canary takes a whole round of its pool and starts in the smallest domain.
