--- a/controller/requests.go
+++ b/controller/requests.go
@@ -121,6 +121,9 @@
 // notActive is the answer of a controller that does not control the fleet.
 func (s *State) notActive() Response {
 	response := Response{Status: StatusNotActive, Reason: "not-active", Detail: "this controller is " + s.Lead.phase.String()}
+	if !s.storeReachable(s.lastTick) {
+		response.Detail += ", and the store is unreachable; nothing was changed"
+	}
 	if leader := s.View.Leader; leader.Revision != 0 && leader.Identity.Incarnation != s.View.Self.Incarnation {
 		response.ActiveController = leader.Identity.PublicAddress
 	}
@@ -201,7 +204,10 @@
 		return unknownWorker(c.Worker), true
 	}
 	if s.View.Policy == nil {
-		return Response{Status: StatusUnavailable, Reason: "no-configuration"}, true
+		return noConfiguration(), true
+	}
+	if _, ok := s.View.Policy.Pool(c.ToPool); !ok && c.Kind == fleet.OperationMove {
+		return unknownPool(c.ToPool), true
 	}
 	if !s.disruptionAllowed(tick.Now) {
 		return Response{Status: StatusUnavailable, Reason: string(fleet.ReasonNotAllowed), Detail: s.whyNotAllowed(tick)}, true
@@ -215,9 +221,6 @@
 	book := budget.Assess(s.Fleet, s.View.Policy, nil)
 	shortage := book.CheckDisrupt(row.Pool, row.AvailabilityZone)
 	if c.Kind == fleet.OperationMove {
-		if _, ok := s.View.Policy.Pool(c.ToPool); !ok {
-			return unknownPool(c.ToPool), true
-		}
 		shortage = book.CheckMove(row.Pool, c.ToPool, row.AvailabilityZone)
 	}
 	if shortage == "" {
@@ -285,11 +288,19 @@
 	s.awaitCommit(r, tick, OperationStarted{Operation: start.Operation, Worker: c.Worker})
 }
 
+func noConfiguration() Response {
+	return Response{Status: StatusUnavailable, Reason: "no-configuration", Detail: "the site has no configuration yet; apply one first"}
+}
+
 func (c ControlWave) execute(s *State, tick engine.Tick, r *Request) {
-	if !s.Active() || s.View.Policy == nil {
+	if !s.Active() {
 		s.answer(r, s.notActive())
 		return
 	}
+	if s.View.Policy == nil {
+		s.answer(r, noConfiguration())
+		return
+	}
 	for _, pool := range c.Pools {
 		if _, ok := s.View.Policy.Pool(pool); !ok {
 			s.answer(r, unknownPool(pool))
@@ -305,7 +316,11 @@
 		s.answer(r, response)
 		return
 	}
-	s.View.Log(events.WaveChanged, events.F("action", c.Action), events.F("wave", s.Fleet.Wave.ID), events.F("operator", r.Operator))
+	event := events.WaveChanged
+	if c.Action == WaveStart {
+		event = events.WaveStarted
+	}
+	s.View.Log(event, events.F("action", c.Action), events.F("wave", s.Fleet.Wave.ID), events.F("operator", r.Operator))
 	s.awaitCommit(r, tick, *s.Fleet.Wave)
 }
 
--- a/controller/systems.go
+++ b/controller/systems.go
@@ -27,11 +27,13 @@
 		engine.System[State]{Name: "advance operations", Run: advanceOperations},
 		engine.System[State]{Name: "sample demand", Run: sampleDemand},
 		engine.System[State]{Name: "plan wave", Run: planWave},
+		engine.System[State]{Name: "report budgets", Run: reportBudgets},
 		engine.System[State]{Name: "feed jobs", Run: feedJobs},
 		engine.System[State]{Name: "list tasks", Run: listTasks},
 	)
 	systems = append(systems, engine.Lift(func(s *State) *placement.State { return s.Jobs }, placement.Systems)...)
 	return append(systems,
+		engine.System[State]{Name: "log job changes", Run: logJobChanges},
 		engine.System[State]{Name: "follow quarantines", Run: followQuarantines},
 		engine.System[State]{Name: "commit fleet", Run: commitFleet},
 		engine.System[State]{Name: "answer requests", Run: answerRequests},
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -41,22 +41,27 @@
 	return nil
 }
 
-// changePool moves the worker and keeps the count of borrowed spares: a move of
-// a wave borrows, a rotation gives back.
+// changePool moves the worker and keeps the count of borrowed spares: a rotation
+// gives back, a move of a wave borrows, or gives back when it leaves a pool that
+// owes spares. The spare pool itself never owes any.
 func (t *Tables) changePool(row *WorkerRow, operation *OperationRow, pool string) {
 	from := row.Pool
 	t.setPool(row, pool)
 	if operation.Wave == "" {
 		return
 	}
+	debtor := t.pool(from)
 	switch operation.Kind {
 	case OperationMove:
-		t.pool(pool).Borrowed++
+		if debtor.Borrowed > 0 {
+			debtor.Borrowed--
+		} else {
+			t.pool(pool).Borrowed++
+		}
 		if t.Wave != nil && t.Wave.ID == operation.Wave {
 			t.Wave.Moves++
 		}
 	case OperationRotate:
-		debtor := t.pool(from)
 		debtor.Borrowed = max(0, debtor.Borrowed-1)
 	}
 }
@@ -75,6 +80,11 @@
 	row.OperationID = 0
 }
 
+// widenStep is by how much each clean result widens a wave after its canary, so
+// that a clean batch quadruples the width. With 1 most of the first rounds of a
+// small site pass before the budgets, and not the width, limit the wave.
+const widenStep = 3
+
 func (t *Tables) countClean(operation *OperationRow) {
 	wave := t.Wave
 	if wave == nil || wave.ID != operation.Wave {
@@ -85,7 +95,7 @@
 	most := max(t.Workers.Len(), 1)
 	switch {
 	case wave.Width > wave.Canary && wave.BatchFailures == 0:
-		wave.Width = min(wave.Width+1, most)
+		wave.Width = min(wave.Width+widenStep, most)
 	case wave.Streak >= wave.Width: // the canary or the batch after a failure was clean
 		wave.Width = min(2*wave.Width, most)
 		wave.Streak, wave.BatchFailures = 0, 0
--- a/node/process.go
+++ b/node/process.go
@@ -30,11 +30,12 @@
 
 	Public, Peers, Admin net.Listener
 
-	ctx     context.Context
-	cancel  context.CancelFunc
-	running sync.WaitGroup
-	post    Post
-	servers []*http.Server
+	ctx        context.Context
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+	registered chan struct{} // has room for one signal
+	post       Post
+	servers    []*http.Server
 }
 
 // Options describe a process.
@@ -49,7 +50,7 @@
 
 // NewProcess opens the listeners and prepares the clients. It contacts nobody.
 func NewProcess(options Options) (*Process, error) {
-	p := &Process{Keys: NewKeys(string(options.Settings.Site)), Log: options.Log}
+	p := &Process{Keys: NewKeys(string(options.Settings.Site)), Log: options.Log, registered: make(chan struct{}, 1)}
 	if err := p.listen(options); err != nil {
 		return nil, err
 	}
@@ -65,6 +66,9 @@
 	for i, url := range options.Settings.Store {
 		urls[i] = string(url)
 	}
+	if advertised := options.Settings.AdvertisePeers; advertised != "" {
+		p.Identity.PeerAddress = string(advertised)
+	}
 	client, err := etcdgateway.New(urls...)
 	if err != nil {
 		p.closeListeners()
@@ -118,7 +122,7 @@
 	p.running.Go(func() { p.followLease() })
 	p.running.Go(func() { WatchShared(p.ctx, p.Store, p.Keys, post) })
 	p.running.Go(func() { ListWorkers(p.ctx, p.Platform, WorkerListInterval, post) })
-	p.running.Go(func() { ListMembers(p.ctx, p.Store, p.Keys, post) })
+	p.running.Go(func() { ListMembers(p.ctx, p.Store, p.Keys, MemberListInterval, p.registered, post) })
 	p.running.Go(func() { p.reportStoreCalls() })
 }
 
@@ -162,12 +166,23 @@
 	backoff := &store.Backoff{Base: minWatchBackoff, Max: maxWatchBackoff}
 	for p.Lease.Lease() == lease {
 		err := Register(p.ctx, p.Store, p.Keys, p.Identity, lease)
-		if err == nil || backoff.Wait(p.ctx) != nil {
+		if err == nil {
+			p.signalRegistered()
+			return
+		}
+		if backoff.Wait(p.ctx) != nil {
 			return
 		}
 	}
 }
 
+func (p *Process) signalRegistered() {
+	select {
+	case p.registered <- struct{}{}:
+	default: // a read is due already
+	}
+}
+
 const callReportInterval = time.Second
 
 // reportStoreCalls counts the store calls by kind as a metric.
@@ -196,25 +211,31 @@
 		_, _ = w.Write([]byte("ready\n"))
 	})
 	mux.Handle("GET /metrics", p.Metrics.Handler())
-	p.Serve(p.Admin, mux)
+	p.Serve(p.Admin, NewServer(mux))
 }
 
 // Limits of the HTTP servers. Bodies are bounded by their handlers.
 const (
 	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = time.Minute
 	maxHeaderBytes    = 64 << 10
 )
 
+// NewServer returns an HTTP server for operators or the admin page.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // Serve serves HTTP until the process stops.
-func (p *Process) Serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+func (p *Process) Serve(listener net.Listener, server *http.Server) {
 	p.servers = append(p.servers, server)
 	p.running.Go(func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			p.Log.Log(events.ServerFailed, events.F("address", listener.Addr().String()), events.Err(err))
 		}
 	})
-	return server
 }
 
 // Stop ends the servers gracefully, then the background work, and gives the
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -34,6 +34,7 @@
 	ReasonReboots       Reason = "reboot-limit"           // max_concurrent_reboots
 	ReasonDomain        Reason = "other-domain-disrupted" // the pool has a disrupted worker in another rack or zone
 	ReasonBorrowing     Reason = "spare-on-its-way"
+	ReasonLent          Reason = "lent-to-other-pool" // a spare that moves into a pool without slack
 	ReasonNoSpare       Reason = "no-spare-available"
 	ReasonSpareReserve  Reason = "spare-reserved" // the joint buffer needs all serving spares
 
@@ -64,12 +65,13 @@
 
 // The kinds of decision.
 const (
-	DecisionMaintain DecisionKind = "maintain" // drain, reboot and return Worker
-	DecisionBorrow   DecisionKind = "borrow"   // move the spare Worker into pool ToPool
-	DecisionRotate   DecisionKind = "rotate"   // maintain Worker, which then takes a borrowed spare's place in ToPool
-	DecisionWait     DecisionKind = "wait"     // Pool has pending workers of which none can start
-	DecisionHalt     DecisionKind = "halt"     // halt the wave
-	DecisionDone     DecisionKind = "done"     // every worker in scope is maintained
+	DecisionMaintain DecisionKind = "maintain"  // drain, reboot and return Worker
+	DecisionBorrow   DecisionKind = "borrow"    // move the spare Worker into pool ToPool
+	DecisionRotate   DecisionKind = "rotate"    // maintain Worker, which then takes a borrowed spare's place in ToPool
+	DecisionGiveBack DecisionKind = "give-back" // move Worker into the spare pool ToPool in place of a borrowed spare
+	DecisionWait     DecisionKind = "wait"      // Pool has pending workers of which none can start
+	DecisionHalt     DecisionKind = "halt"      // halt the wave
+	DecisionDone     DecisionKind = "done"      // every worker in scope is maintained
 )
 
 // Decision is one result of a plan.
@@ -92,6 +94,11 @@
 	return fmt.Sprintf("wave: cannot %s wave %q in status %q", e.Request, e.Wave, e.Status)
 }
 
+// PoolError reports a pool that the configuration does not declare.
+type PoolError struct{ Pool string }
+
+func (e *PoolError) Error() string { return fmt.Sprintf("wave: pool %q is not declared", e.Pool) }
+
 // Start describes a wave to start.
 type Start struct {
 	ID       string
@@ -106,7 +113,7 @@
 	}
 	for _, pool := range start.Pools {
 		if _, ok := effective.Pool(pool); !ok {
-			return &fleet.RequestError{Worker: "", State: "", Reason: fleet.ReasonUnknownPool}
+			return &PoolError{pool}
 		}
 	}
 	t.Wave = &fleet.Wave{
@@ -182,6 +189,7 @@
 func Apply(t *fleet.Tables, decision Decision, operation string, now time.Time) error {
 	kinds := map[DecisionKind]fleet.OperationKind{
 		DecisionMaintain: fleet.OperationMaintain, DecisionBorrow: fleet.OperationMove, DecisionRotate: fleet.OperationRotate,
+		DecisionGiveBack: fleet.OperationMove,
 	}
 	switch decision.Kind {
 	case DecisionWait:
