--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 lint:
 	$(LINT) fmt --diff
-	$(LINT) run ./...
+	$(LINT) run --allow-parallel-runners ./...
 
 format:
 	$(LINT) fmt
