--- a/test/callers_test.go
+++ b/test/callers_test.go
@@ -64,11 +64,12 @@
 
 	mu      sync.Mutex
 	reasons map[outcome.Reason]int
+	workers map[string]int // completed requests
 }
 
 func (s *site) startCallers(number int, pools ...string) *callers {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &callers{site: s, pools: pools, stop: cancel, reasons: map[outcome.Reason]int{}}
+	c := &callers{site: s, pools: pools, stop: cancel, reasons: map[outcome.Reason]int{}, workers: map[string]int{}}
 	for i := range number {
 		c.work.Go(func() { c.run(ctx, i) })
 	}
@@ -82,6 +83,23 @@
 	c.work.Wait()
 }
 
+func (c *callers) count(got answer) {
+	c.tally.add(got.Outcome.Kind)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reasons[got.Outcome.Reason]++
+	if got.Outcome.Kind == outcome.Completed {
+		c.workers[got.Worker]++
+	}
+}
+
+// completedBy returns how many requests the worker completed.
+func (c *callers) completedBy(worker string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.workers[worker]
+}
+
 // progress waits until a number of further requests completed.
 func (c *callers) progress(number int64) {
 	c.site.t.Helper()
@@ -114,10 +132,7 @@
 		first := random.IntN(len(c.site.gateways))
 		for try := range maxTries {
 			got := c.site.send(client, c.site.gateways[(first+try)%len(c.site.gateways)], wanted)
-			c.tally.add(got.Outcome.Kind)
-			c.mu.Lock()
-			c.reasons[got.Outcome.Reason]++
-			c.mu.Unlock()
+			c.count(got)
 			if !mayRetry(wanted, got) || store.Sleep(ctx, callerPause) != nil {
 				break
 			}
--- a/test/gateway_cells_test.go
+++ b/test/gateway_cells_test.go
@@ -43,14 +43,16 @@
 }
 
 // killedWithRequests expects that callers who repeat their keyed orders at
-// another gateway get an outcome, and that no order runs twice.
+// another gateway get an outcome from the old or the new home of each key, and
+// that no order runs twice.
 func killedWithRequests(s *site, traffic *callers) {
 	ends, orders := s.inFlight(s.gateways[0], 6)
 	s.gateways[0].kill()
 	ends()
 	for _, order := range orders {
-		s.eventually(readyLimit, "the order has an outcome", func() bool {
-			return s.send(http.DefaultClient, s.gateways[1], order).Outcome.Kind != outcome.NotRun
+		s.eventually(readyLimit, "a home answers for the order", func() bool {
+			got := s.send(http.DefaultClient, s.gateways[1], order).Outcome
+			return got.Kind == outcome.Completed || (got.Kind == outcome.Unknown && got.Reason != outcome.ReasonHomeNoAnswer)
 		})
 	}
 	traffic.progress(30)
--- a/test/matrix_test.go
+++ b/test/matrix_test.go
@@ -26,7 +26,7 @@
 func groups() []group {
 	return []group{
 		storeGroup(), controllerGroup(), waveGroup(), gatewayGroup(), lostGatewayGroup(), targetGroup(), peerGroup(), silentPeerGroup(),
-		zoneGroup(), pairGroup(),
+		zoneGroup(), pairGroup(), jobGroup(),
 	}
 }
 
--- a/test/operator_test.go
+++ b/test/operator_test.go
@@ -172,6 +172,10 @@
 	return s.jobCall(http.MethodGet, g.public+"/v1/jobs/"+id, nil)
 }
 
+func (s *site) cancelJob(g *member, id string) gateway.JobBody {
+	return s.jobCall(http.MethodDelete, g.public+"/v1/jobs/"+id, nil)
+}
+
 func (s *site) jobCall(method, address string, body any) gateway.JobBody {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/gateway"
+	"github.com/waxwingbridge/waxwingbridge/standin/target"
 )
 
 // Guards against a broken step of the ordinary path when each part is a process
@@ -17,9 +18,11 @@
 	job := gateway.JobRequest{ID: "job-1", Pool: "ledger", Class: "long", Family: "reconcile", MilliCores: 500, Payload: "run:300ms"}
 	s.eventually(readyLimit, "the job is accepted", func() bool { return s.submitJob(s.gateways[0], job).Outcome == "completed" })
 
+	s.slow("w001", 2000) // the restart has to wait for these requests
 	s.disrupt(fleet.OperationMaintain, "w001", "")
 	s.waitState("w001", fleet.Rebooting, fleet.Returning)
 	s.waitState("w001", fleet.Serving)
+	s.targetFaults("w001", target.Faults{})
 	s.disrupt(fleet.OperationDrain, "w005", "")
 	s.waitState("w005", fleet.Drained)
 	s.returnWorker("w005")
--- a/test/target_cells_test.go
+++ b/test/target_cells_test.go
@@ -15,7 +15,7 @@
 		{"target-fails-all-request", failingTarget},
 		{"target-slow-request", targetFault(target.Faults{SlowMS: 1000})},
 		{"target-cuts-short-request", targetFault(target.Faults{CutShort: true})},
-		{"target-answers-other-attempt", targetFault(target.Faults{WrongAttempt: true})},
+		{"target-answers-other-attempt", otherAttempt},
 		{"target-never-answers", targetFault(target.Faults{NeverAnswer: true})},
 		{"target-connection-cut", func(s *site, traffic *callers) {
 			s.targetProxy["w001"].truncate(answers, "200")
@@ -78,6 +78,20 @@
 	}
 }
 
+// otherAttempt expects that no caller gets an answer that names another attempt.
+func otherAttempt(s *site, traffic *callers) {
+	s.targetFaults("w001", target.Faults{WrongAttempt: true})
+	traffic.progress(50) // the answers sent before have arrived
+	before, executed := traffic.completedBy("w001"), s.executed()["w001"]
+	// The target may still be ejected because of an earlier fault.
+	s.eventually(readyLimit, "the target executes requests", func() bool { return s.executed()["w001"] > executed+1 })
+	traffic.progress(50)
+	if after := traffic.completedBy("w001"); after != before {
+		s.t.Errorf("callers got %d answers that name another attempt", after-before)
+	}
+	s.targetFaults("w001", target.Faults{})
+}
+
 // lateAnswer expects that an answer that arrives after the deadline reaches
 // nobody, and that the order does not run again.
 func lateAnswer(s *site, traffic *callers) {
