--- a/command/ctl.go
+++ b/command/ctl.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -11,6 +10,8 @@
 	"syscall"
 	"unicode"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/ctl"
 	"github.com/waxwingbridge/waxwingbridge/settings"
 )
--- a/command/ctl_values.go
+++ b/command/ctl_values.go
@@ -1,12 +1,13 @@
 package command
 
 import (
-	"errors"
 	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/policy"
 )
 
--- a/controller/job_calls.go
+++ b/controller/job_calls.go
@@ -112,7 +112,7 @@
 func jobAnswer(view placement.View, result outcome.Outcome) peerapi.JobAnswer {
 	return peerapi.JobAnswer{
 		Outcome: result, ID: view.ID, State: string(view.State), Detail: view.Detail, Worker: view.Worker,
-		Attempts: uint32(max(0, view.Attempts)), //nolint:gosec // bounded by the number of workers
+		Attempts: uint32(max(0, view.Attempts)),
 	}
 }
 
--- a/controller/job_performer.go
+++ b/controller/job_performer.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -79,7 +79,7 @@
 		"job_page_writes": now.PageWrites - r.counters.PageWrites,
 		"power_throttles": now.PowerThrottles - r.counters.PowerThrottles,
 	} {
-		r.scope.Counter(name).Inc(int64(count)) //nolint:gosec // differences of counters
+		r.scope.Counter(name).Inc(int64(count))
 	}
 	r.counters = now
 }
--- a/controller/performer.go
+++ b/controller/performer.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
--- a/controller/requests.go
+++ b/controller/requests.go
@@ -1,10 +1,11 @@
 package controller
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/budget"
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
--- a/ctl/client.go
+++ b/ctl/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/controller"
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/policy"
--- a/ctl/config.go
+++ b/ctl/config.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/policy"
 )
 
--- a/exchange/call.go
+++ b/exchange/call.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -7,12 +7,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/net/netutil"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
--- a/gateway/bench/sim_test.go
+++ b/gateway/bench/sim_test.go
@@ -85,7 +85,7 @@
 	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 	return &world{
 		start: start, now: start, busySince: start, targets: map[string]*simTarget{},
-		random:  rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // reproducible
+		random:  rand.New(rand.NewPCG(seed, 1)),
 		service: func(*traffic.Message) time.Duration { return 50 * time.Millisecond },
 	}
 }
--- a/gateway/caller_request.go
+++ b/gateway/caller_request.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/gateway/traffic"
 	"github.com/waxwingbridge/waxwingbridge/idempotency"
 	"github.com/waxwingbridge/waxwingbridge/outcome"
@@ -160,7 +161,7 @@
 	if err != nil || milliseconds < 1 || milliseconds > uint64(maxTimeout.Milliseconds()) {
 		return badHeader(headerTimeout, value, accepted)
 	}
-	submission.Timeout = time.Duration(milliseconds) * time.Millisecond //nolint:gosec // checked above
+	submission.Timeout = time.Duration(milliseconds) * time.Millisecond
 	return nil
 }
 
--- a/gateway/control/credits.go
+++ b/gateway/control/credits.go
@@ -34,7 +34,7 @@
 // reportDemand tells peers how many requests wait and run here.
 func reportDemand(s *State, _ engine.Tick) {
 	for pool, requests := range s.demand {
-		s.Peers.SetDemand(pool, uint32(max(0, requests))) //nolint:gosec // bounded by the queue limits
+		s.Peers.SetDemand(pool, uint32(max(0, requests)))
 		if requests == 0 {
 			delete(s.demand, pool)
 		}
@@ -61,7 +61,7 @@
 		if demand[worker.Pool] == nil {
 			demand[worker.Pool] = s.poolDemand(gateways, worker.Pool)
 		}
-		s.setGrants(gateways, worker.ID, routing.GrantSlots(slots, demand[worker.Pool], int(xxhash.Sum64String(worker.ID)%uint64(len(gateways))))) //nolint:gosec // below the number of gateways
+		s.setGrants(gateways, worker.ID, routing.GrantSlots(slots, demand[worker.Pool], int(xxhash.Sum64String(worker.ID)%uint64(len(gateways)))))
 	}
 }
 
@@ -98,7 +98,7 @@
 	for i, gateway := range gateways {
 		switch {
 		case gateway.peer != 0:
-			s.Peers.SetGrant(gateway.peer, worker, uint32(grants[i])) //nolint:gosec // at most the slots of a target
+			s.Peers.SetGrant(gateway.peer, worker, uint32(grants[i]))
 		case grants[i] == 0:
 			delete(s.ownCredits, worker)
 		default:
--- a/gateway/job_request.go
+++ b/gateway/job_request.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
 	"github.com/waxwingbridge/waxwingbridge/outcome"
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -62,7 +62,7 @@
 	g.loop = engine.NewLoop(control.Program(g.flush), state, controlInboxSize)
 	g.exchange = exchange.New(process.Peers, exchange.Options{Post: g.postExchange, Keyed: keyedHandler{g}, Log: log})
 	g.traffic = NewTraffic(TrafficConfig{
-		Incarnation: process.Identity.Incarnation, Shards: int(s.TrafficShards), Seed: uint64(time.Now().UnixNano()), //nolint:gosec // any seed will do
+		Incarnation: process.Identity.Incarnation, Shards: int(s.TrafficShards), Seed: uint64(time.Now().UnixNano()),
 		Logger: log, Metrics: process.Metrics.Scope, Report: g.report, Forwarder: keyForwarder{g.exchange},
 	})
 	return g, nil
@@ -174,7 +174,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*node.StoreCallTimeout)
 	defer cancel()
 	homes, err := g.nextHomes(ctx)
-	_ = g.loop.Post(g.process.Context(), control.HomesUpdated{Lease: e.Lease, Homes: homes, Err: err}) //nolint:contextcheck // the call's context may have ended
+	_ = g.loop.Post(g.process.Context(), control.HomesUpdated{Lease: e.Lease, Homes: homes, Err: err})
 }
 
 // nextHomes reads the list, then the live processes, and writes the successor.
--- a/gateway/shards.go
+++ b/gateway/shards.go
@@ -31,7 +31,7 @@
 func newShard(t *Traffic, number int) *shard {
 	s := &shard{traffic: t, number: number, cancels: map[table.ID]context.CancelFunc{}}
 	state := traffic.NewState(traffic.Config{
-		Source: &t.snapshot, Seed: t.config.Seed + uint64(number), Chooser: t.config.Chooser, //nolint:gosec // 1-64
+		Source: &t.snapshot, Seed: t.config.Seed + uint64(number), Chooser: t.config.Chooser,
 		Owns: func(pool string) bool { return t.numberOf(pool) == number },
 	})
 	s.loop = engine.NewLoop(traffic.Program(s), state, inboxSize)
@@ -42,7 +42,7 @@
 func (t *Traffic) shardOf(pool string) *shard { return t.shards[t.numberOf(pool)] }
 
 func (t *Traffic) numberOf(pool string) int {
-	return int(xxhash.Sum64String(pool) % uint64(max(1, t.config.Shards))) //nolint:gosec // 1-64
+	return int(xxhash.Sum64String(pool) % uint64(max(1, t.config.Shards)))
 }
 
 // Send starts the round trip of an attempt.
@@ -127,7 +127,7 @@
 	text := make([]byte, 0, len(s.traffic.config.Incarnation)+24)
 	text = append(text, s.traffic.config.Incarnation...)
 	text = append(text, '-')
-	text = appendHex(text, uint64(s.number)) //nolint:gosec // 1-64
+	text = appendHex(text, uint64(s.number))
 	text = append(text, '-')
 	return string(appendHex(text, uint64(id)))
 }
--- a/gateway/target_answer.go
+++ b/gateway/target_answer.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/gateway/traffic"
 )
 
--- a/gateway/target_conn.go
+++ b/gateway/target_conn.go
@@ -1,9 +1,10 @@
 package gateway
 
 import (
-	"errors"
 	"net"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
 var errSealed = errors.New("connection is sealed")
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingbridge/waxwingbridge/events"
@@ -174,7 +174,7 @@
 	case <-ctx.Done():
 	}
 	// The shard answers an abandoned request at once.
-	_ = s.loop.Post(t.context, &traffic.Abandoned{Submission: submission}) //nolint:contextcheck // ctx has ended
+	_ = s.loop.Post(t.context, &traffic.Abandoned{Submission: submission})
 	select {
 	case result := <-reply:
 		return result
--- a/gateway/traffic/state.go
+++ b/gateway/traffic/state.go
@@ -140,7 +140,7 @@
 		config.Chooser = routing.CreditsFirst{}
 	}
 	s := &State{config: config}
-	s.Fleet.Random = rand.New(rand.NewPCG(config.Seed, 0)) //nolint:gosec // reproducible choices, not secrets
+	s.Fleet.Random = rand.New(rand.NewPCG(config.Seed, 0))
 	s.rows = routing.Rows[Request]{
 		Requests: &s.Requests, Tenants: &s.Tenants, Entry: func(r *Request) *routing.Entry { return &r.Entry },
 	}
--- a/idempotency/homes_test.go
+++ b/idempotency/homes_test.go
@@ -34,7 +34,7 @@
 
 func newSite(seed uint64) *site {
 	return &site{
-		random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // reproducible
+		random: rand.New(rand.NewPCG(seed, 0)),
 		now:    time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC),
 		leases: map[string]time.Time{}, nodes: map[string]*node{},
 	}
--- a/idempotency/records.go
+++ b/idempotency/records.go
@@ -46,7 +46,7 @@
 
 func writeLength(digest *xxhash.Digest, length int) {
 	var buffer [8]byte
-	binary.LittleEndian.PutUint64(buffer[:], uint64(length)) //nolint:gosec // not negative
+	binary.LittleEndian.PutUint64(buffer[:], uint64(length))
 	_, _ = digest.Write(buffer[:])
 }
 
--- a/measure/machines.go
+++ b/measure/machines.go
@@ -1,11 +1,12 @@
 package measure
 
 import (
-	"errors"
 	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 )
 
@@ -64,10 +65,10 @@
 	h := fnv.New64a()
 	key := []byte(m.Worker + purpose)
 	for shift := 0; shift < 64; shift += 8 {
-		key = append(key, byte(p.seed>>shift), byte(uint64(m.BootID)>>shift)) //nolint:gosec // bytes of the key of a hash
+		key = append(key, byte(p.seed>>shift), byte(uint64(m.BootID)>>shift))
 	}
 	_, _ = h.Write(key)
-	return time.Duration(h.Sum64() % uint64(most)) //nolint:gosec // most is a positive constant
+	return time.Duration(h.Sum64() % uint64(most))
 }
 
 // call executes a call of the controller.
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -127,7 +127,7 @@
 }
 
 func newDemand(l *layout, seed uint64) *demand {
-	return &demand{l, peakCycle, time.Duration(seed%uint64(peakCycle/time.Second)) * time.Second} //nolint:gosec // less than a minute
+	return &demand{l, peakCycle, time.Duration(seed%uint64(peakCycle/time.Second)) * time.Second}
 }
 
 // at returns the demand of all pools in slots. The start of each queue's peak is
--- a/node/fleetcodec.go
+++ b/node/fleetcodec.go
@@ -4,9 +4,10 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
-	"errors"
 	"io"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 )
 
--- a/node/process.go
+++ b/node/process.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/metrics"
 	"github.com/waxwingbridge/waxwingbridge/platform"
--- a/node/writer.go
+++ b/node/writer.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
 
--- a/placement/announce.go
+++ b/placement/announce.go
@@ -57,8 +57,8 @@
 func (s *State) announceShed(throttles, checkpoints uint64) {
 	change := Change{
 		Kind: ChangePowerShed, ExpectedWatts: s.expectedDraw(), CapWatts: s.powerCap(),
-		Throttled:    int(s.Counters.PowerThrottles - throttles),     //nolint:gosec // at most the number of attempts
-		Checkpointed: int(s.Counters.PowerCheckpoints - checkpoints), //nolint:gosec // at most the number of attempts
+		Throttled:    int(s.Counters.PowerThrottles - throttles),
+		Checkpointed: int(s.Counters.PowerCheckpoints - checkpoints),
 	}
 	if change.Throttled+change.Checkpointed > 0 {
 		s.Out.Changes.Add(change)
--- a/placement/state.go
+++ b/placement/state.go
@@ -77,7 +77,7 @@
 // New returns an empty state that is not active.
 func New(cfg Config) *State {
 	s := &State{cfg: cfg.withDefaults()}
-	s.random = rand.New(rand.NewPCG(s.cfg.Seed, 0)) //nolint:gosec // jitter needs no secrecy
+	s.random = rand.New(rand.NewPCG(s.cfg.Seed, 0))
 	s.reset()
 	return s
 }
--- a/policy/problem.go
+++ b/policy/problem.go
@@ -1,9 +1,10 @@
 package policy
 
 import (
-	"errors"
 	"fmt"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Problem is one fault of a document.
--- a/policy/shape.go
+++ b/policy/shape.go
@@ -4,13 +4,14 @@
 	"bytes"
 	"encoding"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"reflect"
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
 // optionalFields may be missing although they have no omitempty tag. The
--- a/routing/targets_test.go
+++ b/routing/targets_test.go
@@ -22,7 +22,7 @@
 
 func newTestPool(count, gateways int, chooser Chooser) *testPool {
 	p := &testPool{now: time.Unix(1000, 0), chooser: chooser}
-	p.fleet.Random = rand.New(rand.NewPCG(testSeed, 0)) //nolint:gosec // reproducible
+	p.fleet.Random = rand.New(rand.NewPCG(testSeed, 0))
 	p.targets.Limits = Limits{Slots: 8, Connections: ConnectionShare(64, gateways), Gateways: gateways, EjectionCap: 0.3}
 	for i := range count {
 		p.ids = append(p.ids, p.targets.Add(&p.fleet, Target{Usable: true, ServiceEpoch: 1, Local: i%3 == 0}, p.now))
--- a/standin/listen/listen.go
+++ b/standin/listen/listen.go
@@ -4,12 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
--- a/standin/platform/api.go
+++ b/standin/platform/api.go
@@ -3,13 +3,13 @@
 import (
 	"compress/gzip"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingbridge/waxwingbridge/platform"
 	"github.com/waxwingbridge/waxwingbridge/platform/httpapi"
--- a/standin/platform/gateway.go
+++ b/standin/platform/gateway.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/store"
 	"github.com/waxwingbridge/waxwingbridge/store/etcdgateway"
 	"github.com/waxwingbridge/waxwingbridge/store/memory"
--- a/standin/program/platform.go
+++ b/standin/program/platform.go
@@ -1,11 +1,12 @@
 package program
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/settings"
 	"github.com/waxwingbridge/waxwingbridge/standin/platform"
--- a/standin/program/target.go
+++ b/standin/program/target.go
@@ -1,7 +1,6 @@
 package program
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/settings"
 	"github.com/waxwingbridge/waxwingbridge/standin/listen"
--- a/standin/target/admin.go
+++ b/standin/target/admin.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
+
+	"github.com/cockroachdb/errors"
 )
 
 // AdminHandler serves the switches and counters of all targets.
--- a/store/etcdgateway/client.go
+++ b/store/etcdgateway/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
 
--- a/store/etcdgateway/etcdgateway.go
+++ b/store/etcdgateway/etcdgateway.go
@@ -5,12 +5,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
 
--- a/store/lease.go
+++ b/store/lease.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
--- a/store/memory/systems.go
+++ b/store/memory/systems.go
@@ -2,12 +2,13 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/store"
 	"github.com/waxwingbridge/waxwingbridge/table"
--- a/store/store.go
+++ b/store/store.go
@@ -5,8 +5,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Errors of the port. Adapters wrap them, so callers test with errors.Is.
--- a/table/heap.go
+++ b/table/heap.go
@@ -120,5 +120,5 @@
 	for len(h.positions) <= slot {
 		h.positions = append(h.positions, 0)
 	}
-	h.positions[slot] = int32(i + 1) //nolint:gosec // bounded by maxSlots
+	h.positions[slot] = int32(i + 1)
 }
--- a/table/set.go
+++ b/table/set.go
@@ -75,5 +75,5 @@
 	for len(s.positions) <= slot {
 		s.positions = append(s.positions, 0)
 	}
-	s.positions[slot] = int32(position) //nolint:gosec // bounded by maxSlots
+	s.positions[slot] = int32(position)
 }
--- a/table/table.go
+++ b/table/table.go
@@ -18,10 +18,10 @@
 const generationShift = 32
 
 func makeID(generation uint32, slot int) ID {
-	return ID(generation)<<generationShift | ID(uint32(slot)) //nolint:gosec // slots are bounded by maxSlots
+	return ID(generation)<<generationShift | ID(uint32(slot))
 }
 
-func (id ID) slot() int          { return int(uint32(id)) } //nolint:gosec // truncation selects the slot
+func (id ID) slot() int          { return int(uint32(id)) }
 func (id ID) generation() uint32 { return uint32(id >> generationShift) }
 
 // String formats the ID as generation:slot for logs.
