Make errors with cockroachdb/errors throughout

Cause: the house style asks for it. Its Newf does not wrap two errors, which the store and platform tests showed, so fmt.Errorf stays in those places.

--- a/command/ctl.go
+++ b/command/ctl.go
@@ -99,7 +99,7 @@
 func (s *session) mayChange() error {
 	name := s.operator.Name
 	if strings.TrimSpace(name) == "" || len(name) > maxOperatorLength || strings.ContainsFunc(name, unicode.IsControl) {
-		return fmt.Errorf("--operator: %q is not a name of 1 to %d printable characters", name, maxOperatorLength)
+		return errors.Newf("--operator: %q is not a name of 1 to %d printable characters", name, maxOperatorLength)
 	}
 	return nil
 }
--- a/command/ctl_config.go
+++ b/command/ctl_config.go
@@ -6,6 +6,8 @@
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/controller"
 	"github.com/waxwingbridge/waxwingbridge/ctl"
 	"github.com/waxwingbridge/waxwingbridge/policy"
@@ -51,7 +53,7 @@
 		return err
 	}
 	if document.Revision == 0 {
-		return fmt.Errorf("the site has no configuration yet; see config example")
+		return errors.Newf("the site has no configuration yet; see config example")
 	}
 	return ctl.WriteJSON(s.stdout, document)
 }
--- a/command/ctl_values.go
+++ b/command/ctl_values.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -44,7 +43,7 @@
 func (r *reasonText) UnmarshalText(text []byte) error {
 	*r = reasonText(text)
 	if strings.TrimSpace(string(text)) == "" || len(text) > maxReasonBytes {
-		return fmt.Errorf("%q is not a reason of 1 to %d bytes", text, maxReasonBytes)
+		return errors.Newf("%q is not a reason of 1 to %d bytes", text, maxReasonBytes)
 	}
 	return nil
 }
@@ -58,7 +57,7 @@
 func (r *revisionNumber) UnmarshalText(text []byte) error {
 	value, err := strconv.ParseUint(string(text), 10, revisionBits)
 	if err != nil {
-		return fmt.Errorf("%q is not a revision, a whole number from 0 to %d", text, uint64(1)<<revisionBits-1)
+		return errors.Newf("%q is not a revision, a whole number from 0 to %d", text, uint64(1)<<revisionBits-1)
 	}
 	*r = revisionNumber(value)
 	return nil
@@ -77,7 +76,7 @@
 func (t *waitTimeout) UnmarshalText(text []byte) error {
 	value, err := time.ParseDuration(string(text))
 	if err != nil || value < minWaitTimeout || value > maxWaitTimeout {
-		return fmt.Errorf("%q is not a duration from %v to %v", text, minWaitTimeout, maxWaitTimeout)
+		return errors.Newf("%q is not a duration from %v to %v", text, minWaitTimeout, maxWaitTimeout)
 	}
 	*t = waitTimeout(value)
 	return nil
--- a/command/dev.go
+++ b/command/dev.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
 
 	"github.com/waxwingbridge/waxwingbridge/local"
@@ -24,10 +25,10 @@
 // Validate reports numbers out of range.
 func (s *devSettings) Validate() error {
 	if s.Gateways < 1 || s.Gateways > maxDevProcesses {
-		return fmt.Errorf("--gateways: %d is not a number from 1 to %d", s.Gateways, maxDevProcesses)
+		return errors.Newf("--gateways: %d is not a number from 1 to %d", s.Gateways, maxDevProcesses)
 	}
 	if s.Controllers < 1 || s.Controllers > maxDevProcesses {
-		return fmt.Errorf("--controllers: %d is not a number from 1 to %d", s.Controllers, maxDevProcesses)
+		return errors.Newf("--controllers: %d is not a number from 1 to %d", s.Controllers, maxDevProcesses)
 	}
 	return nil
 }
--- a/controller/performer.go
+++ b/controller/performer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"sync"
 	"time"
 
@@ -211,7 +210,7 @@
 	case fleet.CallAssign:
 		return p.platform.Assign(ctx, call.Worker, call.Pool, call.Operation)
 	default:
-		return fmt.Errorf("%w: unknown call %q", platform.ErrRejected, call.Kind)
+		return errors.Newf("%w: unknown call %q", platform.ErrRejected, call.Kind)
 	}
 }
 
--- a/controller/requests.go
+++ b/controller/requests.go
@@ -336,7 +336,7 @@
 	case WaveAbort:
 		return wave.Abort(s.Fleet, c.Reason)
 	default:
-		return fmt.Errorf("unknown action %q; accepted: start, pause, resume, abort", c.Action)
+		return errors.Newf("unknown action %q; accepted: start, pause, resume, abort", c.Action)
 	}
 }
 
--- a/ctl/client.go
+++ b/ctl/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -147,7 +146,7 @@
 	}
 	reply.Value = newValue()
 	if err := json.Unmarshal(data, reply.Value); err != nil {
-		return fmt.Errorf("malformed answer: %w", err)
+		return errors.Newf("malformed answer: %w", err)
 	}
 	return nil
 }
--- a/local/local.go
+++ b/local/local.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
 	"github.com/waxwingbridge/waxwingbridge/controller"
@@ -183,7 +184,7 @@
 	for _, address := range s.adminAddresses() {
 		for !ready(ctx, address) {
 			if err := store.Sleep(ctx, readyPoll); err != nil {
-				return fmt.Errorf("%s is not ready: %w", address, err)
+				return errors.Newf("%s is not ready: %w", address, err)
 			}
 		}
 	}
--- a/measure/capacity/main.go
+++ b/measure/capacity/main.go
@@ -9,6 +9,8 @@
 	"io"
 	"os"
 	"slices"
+
+	"github.com/cockroachdb/errors"
 )
 
 func main() {
@@ -63,7 +65,7 @@
 		s := simulate(z, busy)
 		active := s.active()
 		if active == nil {
-			return fmt.Errorf("no controller became active with %d workers", z.workers)
+			return errors.Newf("no controller became active with %d workers", z.workers)
 		}
 		standby := s.controllers[slices.IndexFunc(s.controllers, func(c *controllerHost) bool { return c != active })]
 		measurements = append(measurements, roles{replayGateway(s, s.gateways[0]), replayController(s, active), replayController(s, standby)})
--- a/measure/capacity/processes.go
+++ b/measure/capacity/processes.go
@@ -14,6 +14,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	standin "github.com/waxwingbridge/waxwingbridge/standin/platform"
@@ -107,7 +109,7 @@
 func (r *realSite) start() error {
 	build := exec.Command("go", "build", "-o", r.bin, "./cmd/waxwing-gateway", "./cmd/waxwing-controller")
 	if output, err := build.CombinedOutput(); err != nil {
-		return fmt.Errorf("build: %w\n%s", err, output)
+		return errors.Newf("build: %w\n%s", err, output)
 	}
 	var err error
 	if r.platform, err = standin.Start(standin.Options{Workers: r.size.list(), RebootTime: rebootTime}); err != nil {
@@ -260,7 +262,7 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("no controller started the wave: %v", refused)
+	return errors.Newf("no controller started the wave: %v", refused)
 }
 
 // checkProcesses measures an idle site and a site during a wave.
--- a/placement/pagecodec/pagecodec.go
+++ b/placement/pagecodec/pagecodec.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/placement"
 )
 
@@ -74,7 +76,7 @@
 		if !ok {
 			var err error
 			if data, err = json.Marshal(fromRecord(record)); err != nil {
-				return nil, fmt.Errorf("encode job page %d: %w", p.Index, err)
+				return nil, errors.Newf("encode job page %d: %w", p.Index, err)
 			}
 		}
 		kept[record] = data
@@ -85,7 +87,7 @@
 	}
 	e.jobs[p.Index] = kept
 	if out = append(out, "]}"...); len(out) > maxBytes {
-		return nil, fmt.Errorf("encode job page %d: %d bytes, at most %d are accepted", p.Index, len(out), maxBytes)
+		return nil, errors.Newf("encode job page %d: %d bytes, at most %d are accepted", p.Index, len(out), maxBytes)
 	}
 	return out, nil
 }
@@ -98,15 +100,15 @@
 	}
 	var in page
 	if err := json.Unmarshal(data, &in); err != nil {
-		return placement.Page{}, fmt.Errorf("decode job page %d: %w", index, err)
+		return placement.Page{}, errors.Newf("decode job page %d: %w", index, err)
 	}
 	if in.Index != index {
-		return placement.Page{}, fmt.Errorf("decode job page %d: value names page %d", index, in.Index)
+		return placement.Page{}, errors.Newf("decode job page %d: value names page %d", index, in.Index)
 	}
 	out := placement.Page{Index: index, Epoch: in.Epoch, Jobs: make([]*placement.JobRecord, len(in.Jobs))}
 	for i := range in.Jobs {
 		if placement.PageOf(in.Jobs[i].ID) != index {
-			return placement.Page{}, fmt.Errorf("decode job page %d: job %q belongs to another page", index, in.Jobs[i].ID)
+			return placement.Page{}, errors.Newf("decode job page %d: job %q belongs to another page", index, in.Jobs[i].ID)
 		}
 		out.Jobs[i] = in.Jobs[i].record()
 	}
--- a/policy/history.go
+++ b/policy/history.go
@@ -2,8 +2,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"slices"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Bounds of the history. The bytes leave room below the store's limit of 1 MB.
@@ -53,7 +54,7 @@
 	for {
 		data, err := json.Marshal(history)
 		if err != nil {
-			return nil, fmt.Errorf("encode configuration history: %w", err)
+			return nil, errors.Newf("encode configuration history: %w", err)
 		}
 		if len(data) <= MaxHistoryBytes || len(history.Documents) == 0 {
 			return data, nil
@@ -69,7 +70,7 @@
 		return history, nil
 	}
 	if err := json.Unmarshal(data, &history); err != nil {
-		return History{}, fmt.Errorf("decode configuration history: %w", err)
+		return History{}, errors.Newf("decode configuration history: %w", err)
 	}
 	return history, nil
 }
--- a/policy/parse.go
+++ b/policy/parse.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+
+	"github.com/cockroachdb/errors"
 )
 
 // MaxDocumentBytes bounds an encoded document. The store holds values up to
@@ -65,7 +67,7 @@
 	encoder := json.NewEncoder(&buffer)
 	encoder.SetEscapeHTML(false)
 	if err := encoder.Encode(&full); err != nil {
-		return nil, fmt.Errorf("encode configuration revision %d: %w", doc.Revision, err)
+		return nil, errors.Newf("encode configuration revision %d: %w", doc.Revision, err)
 	}
 	data := bytes.TrimSuffix(buffer.Bytes(), []byte("\n"))
 	if err := checkSize(data); err != nil {
--- a/policy/shape.go
+++ b/policy/shape.go
@@ -49,7 +49,7 @@
 	s.depth++
 	defer func() { s.depth-- }()
 	if s.depth > maxDepth {
-		return fmt.Errorf("nesting deeper than %d levels", maxDepth)
+		return errors.Newf("nesting deeper than %d levels", maxDepth)
 	}
 	token, err := s.decoder.Token()
 	if err != nil {
--- a/routing/class.go
+++ b/routing/class.go
@@ -4,7 +4,9 @@
 // arguments, so that systems built on it are deterministic.
 package routing
 
-import "fmt"
+import (
+	"github.com/cockroachdb/errors"
+)
 
 // Class is the urgency of a request. Lower values are dispatched first.
 type Class uint8
@@ -42,5 +44,5 @@
 			return class, nil
 		}
 	}
-	return 0, fmt.Errorf("%q is not one of %s", name, ClassNames)
+	return 0, errors.Newf("%q is not one of %s", name, ClassNames)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,7 +4,6 @@
 package settings
 
 import (
-	"fmt"
 	"io"
 	"net/netip"
 	"net/url"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 )
 
@@ -27,7 +27,7 @@
 		kong.Writers(stdout, stderr),
 		kong.UsageOnError())
 	if err != nil {
-		return nil, fmt.Errorf("flags of %s: %w", program, err)
+		return nil, errors.Newf("flags of %s: %w", program, err)
 	}
 	return parser.Parse(args)
 }
@@ -38,7 +38,7 @@
 // Validate reports an address that is not ip:port.
 func (a Address) Validate() error {
 	if _, err := netip.ParseAddrPort(string(a)); err != nil {
-		return fmt.Errorf("%q is not an address of the form ip:port with a port from 0 to 65535", string(a))
+		return errors.Newf("%q is not an address of the form ip:port with a port from 0 to 65535", string(a))
 	}
 	return nil
 }
@@ -57,7 +57,7 @@
 func (u BaseURL) Validate() error {
 	parsed, err := url.Parse(string(u))
 	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" || parsed.RawQuery != "" {
-		return fmt.Errorf("%q is not a URL of the form http://host:port", string(u))
+		return errors.Newf("%q is not a URL of the form http://host:port", string(u))
 	}
 	return nil
 }
@@ -76,7 +76,7 @@
 // Validate reports a name that is empty, too long or has other characters.
 func (n Name) Validate() error {
 	if !nameForm.MatchString(string(n)) {
-		return fmt.Errorf("%q is not a name of 1 to 32 characters a-z, 0-9 and -, starting with a letter or digit", string(n))
+		return errors.Newf("%q is not a name of 1 to 32 characters a-z, 0-9 and -, starting with a letter or digit", string(n))
 	}
 	return nil
 }
@@ -103,7 +103,7 @@
 func (d *ShutdownTimeout) UnmarshalText(text []byte) error {
 	value, err := time.ParseDuration(string(text))
 	if err != nil || value < MinShutdownTimeout || value > MaxShutdownTimeout {
-		return fmt.Errorf("%q is not a duration from %v to %v", text, MinShutdownTimeout, MaxShutdownTimeout)
+		return errors.Newf("%q is not a duration from %v to %v", text, MinShutdownTimeout, MaxShutdownTimeout)
 	}
 	*d = ShutdownTimeout(value)
 	return nil
@@ -138,7 +138,7 @@
 // Validate reports a number outside of the range.
 func (n TrafficShards) Validate() error {
 	if n < MinTrafficShards || n > MaxTrafficShards {
-		return fmt.Errorf("%d is not a number from %d to %d", int(n), MinTrafficShards, MaxTrafficShards)
+		return errors.Newf("%d is not a number from %d to %d", int(n), MinTrafficShards, MaxTrafficShards)
 	}
 	return nil
 }
@@ -147,7 +147,7 @@
 func (n *TrafficShards) UnmarshalText(text []byte) error {
 	value, err := strconv.Atoi(string(text))
 	if err != nil {
-		return fmt.Errorf("%q is not a number from %d to %d", text, MinTrafficShards, MaxTrafficShards)
+		return errors.Newf("%q is not a number from %d to %d", text, MinTrafficShards, MaxTrafficShards)
 	}
 	*n = TrafficShards(value)
 	return n.Validate()
--- a/standin/listen/listen.go
+++ b/standin/listen/listen.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -36,7 +35,7 @@
 func Start(address string, configure func(*http.Server)) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
+		return nil, errors.Newf("listen on %s: %w", address, err)
 	}
 	s := &Server{address: listener.Addr().String(), configure: configure}
 	s.serve(listener)
@@ -90,7 +89,7 @@
 		case <-time.After(rebindWait):
 		}
 	}
-	return nil, fmt.Errorf("listen again on %s: %w", s.address, failure)
+	return nil, errors.Newf("listen again on %s: %w", s.address, failure)
 }
 
 func (s *Server) closeLocked() {
--- a/standin/platform/control.go
+++ b/standin/platform/control.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/standin/target"
 )
 
@@ -78,7 +79,7 @@
 	}
 	count, known := counts[worker]
 	if !known {
-		return 0, fmt.Errorf("no target on worker %s", worker)
+		return 0, errors.Newf("no target on worker %s", worker)
 	}
 	return count, nil
 }
@@ -111,7 +112,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: status %d", path, response.StatusCode)
+		return errors.Newf("%s: status %d", path, response.StatusCode)
 	}
 	if answer == nil {
 		return nil
--- a/standin/platform/fleet.go
+++ b/standin/platform/fleet.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/platform"
 	"github.com/waxwingbridge/waxwingbridge/settings"
 	"github.com/waxwingbridge/waxwingbridge/standin/target"
@@ -46,7 +48,7 @@
 		name, number, _ := strings.Cut(part, "=")
 		workers, err := strconv.Atoi(number)
 		if err != nil || workers < 1 || !settings.ValidName(name) {
-			return nil, fmt.Errorf("%q is not of the form pool=workers with at least 1 worker", part)
+			return nil, errors.Newf("%q is not of the form pool=workers with at least 1 worker", part)
 		}
 		pools = append(pools, PoolSize{Name: name, Workers: workers})
 	}
--- a/standin/platform/payload.go
+++ b/standin/platform/payload.go
@@ -1,10 +1,11 @@
 package platform
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -36,7 +37,7 @@
 	b := behaviour{run: defaultRun, milliCores: milliCores, memoryMB: memoryMB, watts: -1}
 	for _, directive := range strings.Fields(payload) {
 		if err := b.read(directive); err != nil {
-			return behaviour{}, fmt.Errorf("payload directive %q: %w", directive, err)
+			return behaviour{}, errors.Newf("payload directive %q: %w", directive, err)
 		}
 	}
 	if b.watts < 0 {
@@ -61,7 +62,7 @@
 	case "watts":
 		b.watts, err = strconv.Atoi(value)
 	default:
-		err = fmt.Errorf("want run, hang, fail, cores, memory or watts")
+		err = errors.Newf("want run, hang, fail, cores, memory or watts")
 	}
 	return err
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/platform"
 	"github.com/waxwingbridge/waxwingbridge/standin/listen"
@@ -114,12 +116,12 @@
 	gateway := storeGateway{store: s.store}.handler()
 	s.storeWeb, err = listen.Start(s.options.ListenStore, func(server *http.Server) { server.Handler = gateway })
 	if err != nil {
-		return fmt.Errorf("store: %w", err)
+		return errors.Newf("store: %w", err)
 	}
 	api := s.handler()
 	s.platWeb, err = listen.Start(s.options.ListenPlatform, func(server *http.Server) { server.Handler = api })
 	if err != nil {
-		return fmt.Errorf("platform: %w", err)
+		return errors.Newf("platform: %w", err)
 	}
 	return nil
 }
@@ -216,7 +218,7 @@
 	case <-ctx.Done():
 		return response{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
 	case <-s.running.Done():
-		return response{}, fmt.Errorf("%w: stand-in is closed", platform.ErrUnavailable)
+		return response{}, errors.Newf("%w: stand-in is closed", platform.ErrUnavailable)
 	}
 }
 
--- a/standin/platform/requests.go
+++ b/standin/platform/requests.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/platform"
 	"github.com/waxwingbridge/waxwingbridge/platform/httpapi"
@@ -87,11 +89,11 @@
 }
 
 func notFound(kind, name string) error {
-	return fmt.Errorf("%w: %s %q", platform.ErrNotFound, kind, name)
+	return errors.Newf("%w: %s %q", platform.ErrNotFound, kind, name)
 }
 
 func rejected(format string, values ...any) error {
-	return fmt.Errorf("%w: %s", platform.ErrRejected, fmt.Sprintf(format, values...))
+	return errors.Newf("%w: %s", platform.ErrRejected, fmt.Sprintf(format, values...))
 }
 
 // once executes a mutating call unless its operation ID was seen before; then it
--- a/standin/program/platform.go
+++ b/standin/program/platform.go
@@ -1,7 +1,6 @@
 package program
 
 import (
-	"fmt"
 	"io"
 	"time"
 
@@ -53,7 +52,7 @@
 		workers += pool.Workers
 	}
 	if err != nil {
-		err = fmt.Errorf("--pools: %w", err)
+		err = errors.Newf("--pools: %w", err)
 	}
 	return errors.Join(
 		err,
@@ -71,7 +70,7 @@
 func checkLag(flag string, value time.Duration) error {
 	const least = 10 * time.Millisecond
 	if value < least || value > maxLag {
-		return fmt.Errorf("--%s=%v is not in the range %v to %v", flag, value, least, maxLag)
+		return errors.Newf("--%s=%v is not in the range %v to %v", flag, value, least, maxLag)
 	}
 	return nil
 }
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
 	"github.com/waxwingbridge/waxwingbridge/events"
@@ -54,7 +55,7 @@
 func checkRange(flag string, value, most int) error {
 	const least = 1
 	if value < least || value > most {
-		return fmt.Errorf("--%s=%d is not in the range %d to %d", flag, value, least, most)
+		return errors.Newf("--%s=%d is not in the range %d to %d", flag, value, least, most)
 	}
 	return nil
 }
--- a/standin/program/target.go
+++ b/standin/program/target.go
@@ -1,7 +1,6 @@
 package program
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -40,7 +39,7 @@
 func (f *TargetFlags) Validate() error {
 	var service error
 	if f.ServiceTime < 0 || f.ServiceTime > maxServiceTime {
-		service = fmt.Errorf("--service-time=%v is not in the range 0s to %v", f.ServiceTime, maxServiceTime)
+		service = errors.Newf("--service-time=%v is not in the range 0s to %v", f.ServiceTime, maxServiceTime)
 	}
 	return errors.Join(
 		service,
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -9,12 +9,13 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/standin/listen"
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -124,7 +125,7 @@
 
 func (g *Group) add(s *state, spec Spec) error {
 	if _, exists := g.servers[spec.Worker]; exists {
-		return fmt.Errorf("two targets for worker %s", spec.Worker)
+		return errors.Newf("two targets for worker %s", spec.Worker)
 	}
 	id := s.targets.Insert(targetRow{Status: Status{Worker: spec.Worker}, slots: g.options.Slots})
 	g.servers[spec.Worker] = &server{group: g, id: id, worker: spec.Worker}
@@ -139,7 +140,7 @@
 	target := g.servers[spec.Worker]
 	web, err := listen.Start(spec.Listen, target.configure)
 	if err != nil {
-		return fmt.Errorf("target of worker %s: %w", spec.Worker, err)
+		return errors.Newf("target of worker %s: %w", spec.Worker, err)
 	}
 	target.web = web
 	s.targets.Get(target.id).Address = web.Address()
@@ -181,7 +182,7 @@
 func (g *Group) change(ctx context.Context, worker string, change func(*state, table.ID)) error {
 	target, ok := g.servers[worker]
 	if !ok {
-		return fmt.Errorf("no target on worker %s", worker)
+		return errors.Newf("no target on worker %s", worker)
 	}
 	return g.control(ctx, func(s *state) { change(s, target.id) })
 }
--- a/store/budgeted.go
+++ b/store/budgeted.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Budget bounds the calls of one process. A rate of zero does not limit.
@@ -63,7 +64,7 @@
 func (b *Budgeted) take(kind CallKind) error {
 	if !b.takeToken(kind) {
 		b.refused.Add(1)
-		return fmt.Errorf("%w: %s", ErrBudget, kind)
+		return errors.Newf("%w: %s", ErrBudget, kind)
 	}
 	b.sent.Add(kind)
 	return nil
--- a/store/etcdgateway/client.go
+++ b/store/etcdgateway/client.go
@@ -123,11 +123,11 @@
 	}
 	defer response.Body.Close()
 	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
-		return fmt.Errorf("decode answer: %w", err)
+		return errors.Newf("decode answer: %w", err)
 	}
 	// The rest is read so that the connection can be used again.
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return fmt.Errorf("read answer: %w", err)
+		return errors.Newf("read answer: %w", err)
 	}
 	return nil
 }
--- a/store/etcdgateway/etcdgateway.go
+++ b/store/etcdgateway/etcdgateway.go
@@ -96,7 +96,7 @@
 // CompareAndSwap implements store.Store. A write ID has at most 255 bytes.
 func (s *Store) CompareAndSwap(ctx context.Context, put store.Put) (store.Revision, error) {
 	if len(put.WriteID) > maxWriteIDBytes {
-		return 0, fmt.Errorf("%w: write ID of %d bytes, at most %d", store.ErrTooLarge, len(put.WriteID), maxWriteIDBytes)
+		return 0, errors.Newf("%w: write ID of %d bytes, at most %d", store.ErrTooLarge, len(put.WriteID), maxWriteIDBytes)
 	}
 	key := []byte(put.Key)
 	answer, err := s.transaction(ctx, store.CallCompareAndSwap, key, put.Revision, RequestOp{
@@ -108,7 +108,7 @@
 // Delete implements store.Store.
 func (s *Store) Delete(ctx context.Context, key string, revision store.Revision) error {
 	if revision == 0 {
-		return fmt.Errorf("%w: a key without revision does not exist", store.ErrConflict)
+		return errors.Newf("%w: a key without revision does not exist", store.ErrConflict)
 	}
 	_, err := s.transaction(ctx, store.CallDelete, []byte(key), revision, RequestOp{
 		DeleteRange: &DeleteRangeRequest{Key: []byte(key)},
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/store"
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -228,7 +230,7 @@
 	c.answer = make(chan reply, 1)
 	select {
 	case <-m.stopped:
-		return reply{}, fmt.Errorf("%w: store is closed", store.ErrUnavailable)
+		return reply{}, errors.Newf("%w: store is closed", store.ErrUnavailable)
 	default:
 	}
 	if err := ctx.Err(); err != nil {
@@ -244,7 +246,7 @@
 		c.abandon(m)
 		return reply{}, fmt.Errorf("%w: %w", c.unanswered(), ctx.Err())
 	case <-m.stopped:
-		return reply{}, fmt.Errorf("%w: store is closed", c.unanswered())
+		return reply{}, errors.Newf("%w: store is closed", c.unanswered())
 	}
 }
 
--- a/store/memory/systems.go
+++ b/store/memory/systems.go
@@ -66,7 +66,7 @@
 
 func (s *state) execute(now time.Time, c *call) reply {
 	if s.faults.Down {
-		return reply{err: fmt.Errorf("%w: down", store.ErrUnavailable)}
+		return reply{err: errors.Newf("%w: down", store.ErrUnavailable)}
 	}
 	if !s.withinRate(now, c.kind) {
 		return reply{err: fmt.Errorf("%w: %w", store.ErrUnavailable, ErrRateLimited)}
@@ -74,7 +74,7 @@
 	answer := s.perform(now, c)
 	answer.revision = max(answer.revision, s.revision)
 	if c.kind.Write() && answer.err == nil && s.losesAnswer() {
-		return reply{err: fmt.Errorf("%w: answer lost", store.ErrUnknown)}
+		return reply{err: errors.Newf("%w: answer lost", store.ErrUnknown)}
 	}
 	return answer
 }
@@ -117,7 +117,7 @@
 
 func (s *state) compareAndSwap(put store.Put) reply {
 	if len(put.Data) > s.options.MaxValueBytes {
-		return reply{err: fmt.Errorf("%w: %d bytes", store.ErrTooLarge, len(put.Data))}
+		return reply{err: errors.Newf("%w: %d bytes", store.ErrTooLarge, len(put.Data))}
 	}
 	if put.Lease != 0 {
 		if _, ok := s.leaseIDs.Get(put.Lease); !ok {
