Record the wait of jobs until their start and share the description of names

Cause: the histogram per tenant and class of job starts was defined and never fed; three copies of one error text described a valid name. Conclusion: lint and the tests of the touched packages pass.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -58,7 +58,7 @@
 	c.loop = engine.NewLoop(Program(c.flush), state, inboxSize)
 	c.performer = &performer{
 		ctx: process.Context(), post: c.loop.Post, store: process.Store, platform: process.Platform,
-		keys: process.Keys, self: process.Identity,
+		keys: process.Keys, self: process.Identity, scope: process.Metrics.Scope,
 	}
 	c.exchange = exchange.New(process.Peers, exchange.Options{Post: c.postExchange, Jobs: c, Log: log})
 	return c, nil
--- a/controller/job_performer.go
+++ b/controller/job_performer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingbridge/waxwingbridge/metrics"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
@@ -18,7 +19,12 @@
 func (p *performer) flushJobs(out *placement.Outbound) {
 	out.Writes.Drain(func(e placement.WritePage) { p.start(p.writePage(e)) })
 	out.Reads.Drain(func(e placement.ReadPage) { p.start(p.rereadPage(e)) })
-	out.Starts.Drain(func(e placement.StartTask) { p.start(p.startTask(e)) })
+	out.Starts.Drain(func(e placement.StartTask) {
+		if e.First {
+			metrics.JobStartWait(p.scope, e.Tenant, e.Class.String()).RecordDuration(e.Waited)
+		}
+		p.start(p.startTask(e))
+	})
 	out.Controls.Drain(func(e placement.ControlTask) { p.start(p.controlTask(e)) })
 	out.Renewals.Drain(func(e placement.RenewTasks) { p.start(p.renewTasks(e)) })
 	out.Answers.Drain(p.answerJob)
--- a/controller/performer.go
+++ b/controller/performer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/node"
@@ -26,6 +27,7 @@
 	store    store.Store
 	platform platform.Platform
 	keys     node.Keys
+	scope    tally.Scope
 	self     node.Identity
 	replies  jobReplies
 	// encoders keep encoded jobs; at most one write per page is under way.
--- a/controller/requests.go
+++ b/controller/requests.go
@@ -340,7 +340,7 @@
 	}
 }
 
-// newOperationID returns an ID that is unique for ever: the epoch belongs to
+// newOperationID returns an ID that is never used again: the epoch belongs to
 // this controller alone.
 func (s *State) newOperationID() string {
 	s.nextOperation++
--- a/events/events.go
+++ b/events/events.go
@@ -1,5 +1,5 @@
 // Package events is the catalogue of numbered log events. Each number has one
-// meaning for ever; docs/events.md says what an operator does about it, and a
+// fixed meaning; docs/events.md says what an operator does about it, and a
 // test compares the two.
 package events
 
--- a/fleet/document.go
+++ b/fleet/document.go
@@ -38,7 +38,7 @@
 )
 
 // Operation is a planned disruption of one worker. It is part of the fleet
-// document before the platform hears of it.
+// document before the platform is called.
 type Operation struct {
 	ID       string        `json:"id"`
 	Kind     OperationKind `json:"kind"`
--- a/fleet/operation.go
+++ b/fleet/operation.go
@@ -4,7 +4,7 @@
 
 // Start describes an operation to start.
 type Start struct {
-	Operation string // ID, unique for ever
+	Operation string // ID, never used again
 	Kind      OperationKind
 	Worker    string
 	ToPool    string // required for moves and rotations
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -6,7 +6,7 @@
 )
 
 // RebootTimeout is the longest time a reboot may take. A worker that takes
-// longer is failed, so that a hanging machine does not hold its wave for ever.
+// longer is failed, so that a hanging machine does not hold up its wave.
 const RebootTimeout = 30 * time.Minute
 
 // Snapshot is everything on which the next step of an operation depends. It
--- a/gateway/caller_request.go
+++ b/gateway/caller_request.go
@@ -125,10 +125,9 @@
 }
 
 func parseTenant(r *http.Request, submission *traffic.Submission) *refusal {
-	const accepted = "a name of 1 to 32 characters a-z, 0-9 and -, starting with a letter or digit"
-	value, refused := single(r, headerTenant, accepted)
+	value, refused := single(r, headerTenant, settings.AcceptedName)
 	if refused == nil && !settings.ValidName(value) {
-		refused = badHeader(headerTenant, value, accepted)
+		refused = badHeader(headerTenant, value, settings.AcceptedName)
 	}
 	submission.Tenant = value
 	return refused
--- a/gateway/job_request.go
+++ b/gateway/job_request.go
@@ -24,7 +24,6 @@
 	maxMilliCores   = 1_000_000
 	maxRunTimeMS    = 30 * 24 * 60 * 60 * 1000
 	maxJobIDLength  = placement.MaxNameBytes
-	acceptedName    = "a name of 1 to 32 characters a-z, 0-9 and -, starting with a letter or digit"
 	acceptedClasses = "one of urgent, quick, long"
 )
 
@@ -44,9 +43,9 @@
 
 // jobTenant returns the tenant of a call and answers a call without a valid one.
 func jobTenant(c *gin.Context) (string, bool) {
-	tenant, refused := single(c.Request, headerTenant, acceptedName)
+	tenant, refused := single(c.Request, headerTenant, settings.AcceptedName)
 	if refused == nil && !settings.ValidName(tenant) {
-		refused = badHeader(headerTenant, tenant, acceptedName)
+		refused = badHeader(headerTenant, tenant, settings.AcceptedName)
 	}
 	if refused != nil {
 		refuseJob(c, jobRefusal{
@@ -108,7 +107,7 @@
 	case len(r.ID) > maxJobIDLength || strings.ContainsFunc(r.ID, notInJobID):
 		return badField("id", strconv.Quote(r.ID), fmt.Sprintf("up to %d printable ASCII characters without spaces and /", maxJobIDLength))
 	case !settings.ValidName(r.Pool):
-		return badField("pool", strconv.Quote(r.Pool), acceptedName)
+		return badField("pool", strconv.Quote(r.Pool), settings.AcceptedName)
 	case r.Class != "urgent" && r.Class != "quick" && r.Class != "long":
 		return badField("class", strconv.Quote(r.Class), acceptedClasses)
 	case r.MilliCores == 0 || r.MilliCores > maxMilliCores:
--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -58,6 +58,7 @@
 	s.Out.Starts.Add(StartTask{
 		Operation: a.Operation, Job: job.ID, Worker: a.Worker, Reserved: a.Reserved,
 		Lease: s.cfg.TaskLease, Payload: job.Payload, Resume: a.Resume,
+		Tenant: job.Tenant, Class: job.Class, First: job.Attempts == 1, Waited: now.Sub(job.SubmittedAt),
 	})
 	s.timers.add(now.Add(2*s.cfg.CallTimeout), timerAttempt, id)
 }
--- a/placement/effects.go
+++ b/placement/effects.go
@@ -28,6 +28,11 @@
 	Lease     time.Duration
 	Payload   string
 	Resume    bool
+	// For metrics: whether it is the job's first attempt, and the time since its submission.
+	Tenant string
+	Class  Class
+	First  bool
+	Waited time.Duration
 }
 
 // ControlAction is a call about a started task.
--- a/placement/job.go
+++ b/placement/job.go
@@ -16,6 +16,20 @@
 	ClassUrgent
 )
 
+// String returns the form used in requests and metrics.
+func (c Class) String() string {
+	switch c {
+	case ClassLong:
+		return "long"
+	case ClassQuick:
+		return "quick"
+	case ClassUrgent:
+		return "urgent"
+	default:
+		return "invalid"
+	}
+}
+
 // Valid reports whether the class is one of the defined ones.
 func (c Class) Valid() bool { return c >= ClassLong && c <= ClassUrgent }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -76,7 +76,7 @@
 // Validate reports a name that is empty, too long or has other characters.
 func (n Name) Validate() error {
 	if !nameForm.MatchString(string(n)) {
-		return errors.Newf("%q is not a name of 1 to 32 characters a-z, 0-9 and -, starting with a letter or digit", string(n))
+		return errors.Newf("%q is not %s", string(n), AcceptedName)
 	}
 	return nil
 }
@@ -87,6 +87,9 @@
 	return n.Validate()
 }
 
+// AcceptedName describes a valid name in error messages.
+const AcceptedName = "a name of 1 to 32 characters a-z, 0-9 and -, starting with a letter or digit"
+
 // ValidName reports whether the text is a valid name.
 func ValidName(text string) bool { return nameForm.MatchString(text) }
 
