Keep a gateway not ready until the fleet has workers

Cause: in a fresh site the first request after the ready message was refused as not run (no-target), because the gateway was ready with an empty fleet document. Seen with make run from a fresh clone. Conclusion: readiness waits for the first workers; tests of the gateway pass.

--- a/gateway/control/state.go
+++ b/gateway/control/state.go
@@ -177,6 +177,8 @@
 		return "no configuration"
 	case s.View.Fleet == nil:
 		return "no fleet document"
+	case len(s.View.Fleet.Workers) == 0:
+		return "fleet document without workers"
 	case !s.lastTick.Before(s.freshUntil()):
 		return "fleet view is not fresh"
 	}
