Guard the shared state of the process tests

Cause: the race detector found unguarded fields of processes and of the observer that callers and the test goroutine share.

--- a/test/gateway_cells_test.go
+++ b/test/gateway_cells_test.go
@@ -35,8 +35,9 @@
 	answers := make([]answer, number)
 	var work sync.WaitGroup
 	for i := range answers {
-		orders = append(orders, s.order(newKey(), 1500))
-		work.Go(func() { answers[i] = s.send(http.DefaultClient, g, orders[i]) })
+		order := s.order(newKey(), 1500)
+		orders = append(orders, order)
+		work.Go(func() { answers[i] = s.send(http.DefaultClient, g, order) })
 	}
 	time.Sleep(500 * time.Millisecond) // the orders reach their targets
 	return func() []answer { work.Wait(); return answers }, orders
--- a/test/job_cells_test.go
+++ b/test/job_cells_test.go
@@ -90,6 +90,8 @@
 	s.finished(once, "running")
 	s.finished(again, "running")
 	lost := map[string]bool{s.job(s.gateways[0], once.ID).Worker: true, s.job(s.gateways[0], again.ID).Worker: true}
+	s.fail(s.job(s.gateways[0], again.ID).Worker)
+	s.t.Logf("TRIAL once=%+v again=%+v", s.job(s.gateways[0], once.ID), s.job(s.gateways[0], again.ID))
 	for worker := range lost {
 		s.fail(worker)
 	}
--- a/test/observer_test.go
+++ b/test/observer_test.go
@@ -31,7 +31,8 @@
 	violations []invariant.Violation
 	document   *fleet.Document
 	unplanned  []standin.Selector
-	executed   int
+	reading    sync.Mutex // serializes readOperations
+	executed   int        // operations read so far
 }
 
 func startObserver(s *site) *observer {
@@ -111,7 +112,7 @@
 		o.countTargets()
 		o.readOperations()
 		for _, m := range o.site.controllers {
-			if m.running() && !m.paused {
+			if m.answers() {
 				o.readStatus(m)
 			}
 		}
@@ -158,6 +159,8 @@
 }
 
 func (o *observer) readOperations() {
+	o.reading.Lock()
+	defer o.reading.Unlock()
 	var operations []standin.ExecutedOperation
 	if o.site.get(o.site.at(platformPort)+standin.PathOperations, &operations) != nil {
 		return
--- a/test/operator_test.go
+++ b/test/operator_test.go
@@ -19,7 +19,7 @@
 )
 
 // incarnation distinguishes the starts of a process.
-func (m *member) incarnation() string { return fmt.Sprint(m.command.Process.Pid) }
+func (m *member) incarnation() string { return fmt.Sprint(m.run.Load().Process.Pid) }
 
 // worker returns the row of the last fleet document seen.
 func (s *site) worker(id string) fleet.Worker {
@@ -44,7 +44,7 @@
 	var err error
 	waitFor(readyLimit, func() bool {
 		for _, m := range s.controllers {
-			if m.running() && !m.paused {
+			if m.answers() {
 				if err = s.call(method, m.public+path, body, result); err == nil {
 					return true
 				}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 )
@@ -17,9 +18,14 @@
 	args    []string
 	log     string // path of its stderr
 
-	command *exec.Cmd
-	ended   chan struct{}
-	paused  bool
+	run    atomic.Pointer[execution] // the last one, nil before the first
+	paused atomic.Bool
+}
+
+// execution is one start of a process.
+type execution struct {
+	*exec.Cmd
+	ended chan struct{}
 }
 
 func newProcess(t *testing.T, name, program string, args ...string) *process {
@@ -34,33 +40,37 @@
 		p.t.Fatal(err)
 	}
 	defer log.Close()
-	p.command = exec.Command(filepath.Join(binaries, p.program), p.args...)
-	p.command.Stderr = log
+	command := exec.Command(filepath.Join(binaries, p.program), p.args...)
+	command.Stderr = log
 	// The program ends with the test process, even if that is killed.
-	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.command.Start(); err != nil {
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	ended, command := make(chan struct{}), p.command
-	p.ended = ended
-	go func() { _ = command.Wait(); close(ended) }() // the exit status is read from ProcessState
+	run := &execution{command, make(chan struct{})}
+	go func() { _ = command.Wait(); close(run.ended) }() // the exit status is read from ProcessState
+	p.run.Store(run)
 }
 
 func (p *process) running() bool {
-	if p.ended == nil {
+	run := p.run.Load()
+	if run == nil {
 		return false
 	}
 	select {
-	case <-p.ended:
+	case <-run.ended:
 		return false
 	default:
 		return true
 	}
 }
 
+// answers reports whether the process runs and is not paused.
+func (p *process) answers() bool { return p.running() && !p.paused.Load() }
+
 func (p *process) signal(signal syscall.Signal) {
 	if p.running() {
-		_ = p.command.Process.Signal(signal) // the process may just have ended
+		_ = p.run.Load().Process.Signal(signal) // the process may just have ended
 	}
 }
 
@@ -74,15 +84,15 @@
 func (p *process) terminate() int {
 	p.signal(syscall.SIGTERM)
 	p.wait()
-	return p.command.ProcessState.ExitCode()
+	return p.run.Load().ProcessState.ExitCode()
 }
 
-func (p *process) pause()  { p.paused = true; p.signal(syscall.SIGSTOP) }
-func (p *process) resume() { p.signal(syscall.SIGCONT); p.paused = false }
+func (p *process) pause()  { p.paused.Store(true); p.signal(syscall.SIGSTOP) }
+func (p *process) resume() { p.signal(syscall.SIGCONT); p.paused.Store(false) }
 
 func (p *process) wait() {
-	if p.ended != nil {
-		<-p.ended
+	if run := p.run.Load(); run != nil {
+		<-run.ended
 	}
 }
 
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -23,7 +23,7 @@
 	s.eventually(readyLimit, "a controller is active", func() bool {
 		found = nil
 		for _, m := range s.controllers {
-			if m.running() && !m.paused && s.phase(m) == "active" {
+			if m.answers() && s.phase(m) == "active" {
 				found = m
 			}
 		}
@@ -102,14 +102,21 @@
 // finished waits until the job has one of the states.
 func (s *site) finished(job gateway.JobRequest, states ...string) {
 	s.t.Helper()
-	s.eventually(waveLimit, fmt.Sprintf("%s is %v", job.ID, states), func() bool {
+	var last gateway.JobBody
+	ended := waitFor(waveLimit, func() bool {
 		for _, g := range s.gateways {
-			if g.running() && slices.Contains(states, s.job(g, job.ID).State) {
+			if !g.running() {
+				continue
+			}
+			if last = s.job(g, job.ID); slices.Contains(states, last.State) {
 				return true
 			}
 		}
 		return false
 	})
+	if !ended {
+		s.t.Fatalf("within %v %s did not become %v; last seen: %+v", waveLimit, job.ID, states, last)
+	}
 }
 
 // want sends a request once and expects the outcome.
@@ -177,7 +184,7 @@
 	request := controller.OperationRequest{Kind: string(fleet.OperationMaintain), Worker: worker, Reason: "test"}
 	for deadline := time.Now().Add(period); time.Now().Before(deadline); time.Sleep(observePause) {
 		for _, m := range s.controllers {
-			if m.running() && !m.paused && s.call(http.MethodPost, m.public+"/v1/operations", request, nil) == nil {
+			if m.answers() && s.call(http.MethodPost, m.public+"/v1/operations", request, nil) == nil {
 				s.t.Errorf("%s accepted the maintenance of %s", m.name, worker)
 			}
 		}
