--- a/controller/job_performer.go
+++ b/controller/job_performer.go
@@ -11,7 +11,7 @@
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
 
@@ -89,7 +89,7 @@
 	return func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		err := p.platform.StartTask(ctx, platform.TaskSpec{
+		err := p.platform.StartTask(ctx, infra.TaskSpec{
 			Operation: e.Operation, Job: e.Job, Worker: e.Worker, MilliCores: e.Reserved.MilliCores,
 			MemoryMB: e.Reserved.MemoryMB, Accelerators: e.Reserved.Accelerators, Lease: e.Lease, Payload: e.Payload, Resume: e.Resume,
 		})
@@ -117,7 +117,7 @@
 	case placement.ActionStop:
 		return p.platform.StopTask(ctx, e.Operation)
 	default:
-		return platform.ErrRejected
+		return infra.ErrRejected
 	}
 }
 
@@ -125,9 +125,9 @@
 	switch {
 	case err == nil:
 		return placement.CallDone
-	case errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, infra.ErrRejected):
 		return placement.CallRefused
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 		return placement.CallNotFound
 	default:
 		return placement.CallUnknown
@@ -162,14 +162,14 @@
 	return TasksListed{Report: report, Err: err}
 }
 
-var taskStatuses = map[platform.TaskStatus]placement.TaskStatus{
-	platform.TaskRunning: placement.TaskRunning, platform.TaskThrottled: placement.TaskThrottled,
-	platform.TaskCheckpointed: placement.TaskCheckpointed, platform.TaskDone: placement.TaskDone,
-	platform.TaskFailed: placement.TaskFailed, platform.TaskStopped: placement.TaskStopped,
-	platform.TaskLeaseLapsed: placement.TaskLeaseLapsed,
+var taskStatuses = map[infra.TaskStatus]placement.TaskStatus{
+	infra.TaskRunning: placement.TaskRunning, infra.TaskThrottled: placement.TaskThrottled,
+	infra.TaskCheckpointed: placement.TaskCheckpointed, infra.TaskDone: placement.TaskDone,
+	infra.TaskFailed: placement.TaskFailed, infra.TaskStopped: placement.TaskStopped,
+	infra.TaskLeaseLapsed: placement.TaskLeaseLapsed,
 }
 
-func taskObservation(task *platform.Task) placement.TaskObservation {
+func taskObservation(task *infra.Task) placement.TaskObservation {
 	return placement.TaskObservation{
 		Operation: task.Operation, Status: taskStatuses[task.Status],
 		Used:       placement.Resources{MilliCores: task.UsedMilliCores, MemoryMB: task.UsedMemoryMB},
@@ -179,7 +179,7 @@
 
 // startResult treats an unknown worker as a refusal, since no task was started.
 func startResult(err error) placement.CallResult {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return placement.CallRefused
 	}
 	return callResult(err)
--- a/controller/operations.go
+++ b/controller/operations.go
@@ -6,7 +6,7 @@
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 )
 
 // askWorkers asks the platform directly about each worker with an operation.
@@ -180,7 +180,7 @@
 }
 
 // observationFrom converts a row of the platform.
-func observationFrom(worker *platform.Worker) fleet.Observation {
+func observationFrom(worker *infra.Worker) fleet.Observation {
 	return fleet.Observation{
 		Worker: worker.ID, Address: worker.Address, AvailabilityZone: worker.AvailabilityZone, Rack: worker.Rack,
 		Pool: worker.Pool, Status: fleet.Status(worker.Status), BootID: worker.BootID, Requests: worker.Requests,
--- a/controller/operations_test.go
+++ b/controller/operations_test.go
@@ -8,7 +8,7 @@
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/node"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 )
 
 // operating returns a controller whose fleet has an operation on each worker,
@@ -17,11 +17,11 @@
 	t.Helper()
 	m := newMachine(t)
 	document := &fleet.Document{Epoch: 1, Revision: 1}
-	var list []platform.Worker
+	var list []infra.Worker
 	for i := range workers {
 		id := fmt.Sprintf("w%03d", i)
 		document.Workers = append(document.Workers, fleet.Worker{ID: id, Pool: "orders", State: fleet.Serving})
-		list = append(list, platform.Worker{ID: id, Pool: "orders", Status: platform.WorkerRebooting, BootID: 1})
+		list = append(list, infra.Worker{ID: id, Pool: "orders", Status: infra.WorkerRebooting, BootID: 1})
 	}
 	m.state.Fleet = fleet.Load(document)
 	m.step(0, Observed{node.WorkersListed{Workers: list, Asked: m.now}})
@@ -58,8 +58,8 @@
 // the list makes the worker due before its pause is over.
 func TestListedChangeMakesWorkerDue(t *testing.T) {
 	m, o := operating(t, 100)
-	rebooted := platform.Worker{ID: "w000", Pool: "orders", Status: platform.WorkerDraining, BootID: 2}
-	m.state.View.Apply(engine.Tick{Now: m.now}, node.WorkersListed{Workers: []platform.Worker{rebooted}, Asked: m.now.Add(time.Second)})
+	rebooted := infra.Worker{ID: "w000", Pool: "orders", Status: infra.WorkerDraining, BootID: 2}
+	m.state.View.Apply(engine.Tick{Now: m.now}, node.WorkersListed{Workers: []infra.Worker{rebooted}, Asked: m.now.Add(time.Second)})
 	if m.state.questionDue(o, m.now.Add(observeInterval/2)) {
 		t.Errorf("asked again before %v have passed", observeInterval)
 	}
--- a/controller/performer.go
+++ b/controller/performer.go
@@ -13,7 +13,7 @@
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
@@ -25,7 +25,7 @@
 	ctx      context.Context
 	post     func(context.Context, Event) error
 	store    store.Store
-	platform platform.Platform
+	platform infra.Platform
 	keys     node.Keys
 	scope    tally.Scope
 	self     node.Identity
@@ -196,7 +196,7 @@
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		err := p.callPlatform(ctx, e.Call)
-		rejected := errors.Is(err, platform.ErrRejected) || errors.Is(err, platform.ErrNotFound)
+		rejected := errors.Is(err, infra.ErrRejected) || errors.Is(err, infra.ErrNotFound)
 		return PlatformCalled{Call: e.Call, Rejected: rejected, Err: err}
 	}
 }
@@ -212,7 +212,7 @@
 	case fleet.CallAssign:
 		return p.platform.Assign(ctx, call.Worker, call.Pool, call.Operation)
 	default:
-		return errors.Newf("%w: unknown call %q", platform.ErrRejected, call.Kind)
+		return errors.Newf("%w: unknown call %q", infra.ErrRejected, call.Kind)
 	}
 }
 
--- a/controller/state.go
+++ b/controller/state.go
@@ -13,7 +13,7 @@
 	"github.com/waxwingbridge/waxwingbridge/membership"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -107,7 +107,7 @@
 // listedCondition is what the VM list shows of the progress of an operation.
 // Only direct answers count; a change in the list is a reason to ask.
 type listedCondition struct {
-	status    platform.WorkerStatus
+	status    infra.WorkerStatus
 	bootID    int64
 	requests  int
 	tasks     int
--- a/controller/takeover_sim_test.go
+++ b/controller/takeover_sim_test.go
@@ -11,7 +11,7 @@
 	"github.com/waxwingbridge/waxwingbridge/membership"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
 
@@ -43,10 +43,10 @@
 		}
 		worker.received++
 		switch worker.Status {
-		case platform.WorkerLive:
+		case infra.WorkerLive:
 			worker.busy = append(worker.busy, w.now.Add(gatewayService))
 			worker.Requests = len(worker.busy)
-		case platform.WorkerRebooting:
+		case infra.WorkerRebooting:
 			worker.cut++ // a request in transit met a target that stopped
 		}
 	}
@@ -198,8 +198,8 @@
 	state.Out.Calls.Drain(func(e CallPlatform) {
 		s.effect(fmt.Sprintf("%s of %s", e.Call.Kind, e.Call.Worker), func() Event {
 			err := w.call(e.Call)
-			return PlatformCalled{Call: e.Call, Err: err, Rejected: errors.Is(err, platform.ErrRejected)}
-		}, PlatformCalled{Call: e.Call, Err: platform.ErrUnavailable})
+			return PlatformCalled{Call: e.Call, Err: err, Rejected: errors.Is(err, infra.ErrRejected)}
+		}, PlatformCalled{Call: e.Call, Err: infra.ErrUnavailable})
 	})
 	s.flushReads(state)
 	state.View.Logs.Drain(func(events.Record) {})
--- a/controller/takeover_test.go
+++ b/controller/takeover_test.go
@@ -12,7 +12,7 @@
 	"github.com/waxwingbridge/waxwingbridge/invariant"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/outcome"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 )
 
 const (
@@ -63,7 +63,7 @@
 func (w *world) settled() bool {
 	for i := range w.document.Workers {
 		row := &w.document.Workers[i]
-		if row.State != fleet.Serving || row.Operation != nil || w.worker(row.ID).Status != platform.WorkerLive {
+		if row.State != fleet.Serving || row.Operation != nil || w.worker(row.ID).Status != infra.WorkerLive {
 			return false
 		}
 		if row.ID == "w5" && row.Pool != "orders" && !w.aborted() {
--- a/controller/takeover_world_test.go
+++ b/controller/takeover_world_test.go
@@ -9,7 +9,7 @@
 	"github.com/waxwingbridge/waxwingbridge/invariant"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
@@ -80,7 +80,7 @@
 }
 
 type worldWorker struct {
-	platform.Worker
+	infra.Worker
 	rebooted      time.Time   // end of the reboot
 	busy          []time.Time // ends of the requests in flight
 	received, cut int
@@ -133,9 +133,9 @@
 		if i >= 4 {
 			pool = "spare"
 		}
-		w.workers = append(w.workers, &worldWorker{Worker: platform.Worker{
+		w.workers = append(w.workers, &worldWorker{Worker: infra.Worker{
 			ID: fmt.Sprintf("w%d", i+1), AvailabilityZone: fmt.Sprintf("az%d", i%3+1), Rack: fmt.Sprintf("r%d", i%3+1), Pool: pool,
-			Status: platform.WorkerLive, BootID: 1, Cores: 8, MemoryMB: 1024,
+			Status: infra.WorkerLive, BootID: 1, Cores: 8, MemoryMB: 1024,
 		}})
 	}
 	w.see(invariant.ConfigStored{Document: &w.config})
@@ -237,21 +237,21 @@
 	if w.executed[call.Operation] {
 		return nil
 	}
-	draining := worker.Status == platform.WorkerDraining
+	draining := worker.Status == infra.WorkerDraining
 	switch {
-	case call.Kind == fleet.CallDrain && worker.Status == platform.WorkerLive:
-		worker.Status = platform.WorkerDraining
+	case call.Kind == fleet.CallDrain && worker.Status == infra.WorkerLive:
+		worker.Status = infra.WorkerDraining
 	case call.Kind == fleet.CallDrain && draining:
-	case call.Kind == fleet.CallUndrain && (draining || worker.Status == platform.WorkerLive):
-		worker.Status = platform.WorkerLive
+	case call.Kind == fleet.CallUndrain && (draining || worker.Status == infra.WorkerLive):
+		worker.Status = infra.WorkerLive
 	case call.Kind == fleet.CallAssign && draining:
 		worker.Pool = call.Pool
 	case call.Kind == fleet.CallReboot && draining:
-		worker.Status, worker.rebooted = platform.WorkerRebooting, w.now.Add(worldReboot)
+		worker.Status, worker.rebooted = infra.WorkerRebooting, w.now.Add(worldReboot)
 		worker.cut += len(worker.busy)
 		worker.busy = nil
 	default:
-		return platform.ErrRejected
+		return infra.ErrRejected
 	}
 	w.executed[call.Operation], worker.Operation = true, call.Operation
 	w.see(invariant.OperationExecuted{Worker: call.Worker, Kind: string(call.Kind), Operation: call.Operation})
@@ -259,8 +259,8 @@
 }
 
 func (r *worldWorker) advance(now time.Time) {
-	if r.Status == platform.WorkerRebooting && !now.Before(r.rebooted) {
-		r.Status = platform.WorkerDraining
+	if r.Status == infra.WorkerRebooting && !now.Before(r.rebooted) {
+		r.Status = infra.WorkerDraining
 		r.BootID++
 	}
 	for len(r.busy) > 0 && !now.Before(r.busy[0]) {
--- a/gateway/control/control_test.go
+++ b/gateway/control/control_test.go
@@ -12,7 +12,7 @@
 	"github.com/waxwingbridge/waxwingbridge/membership"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/outcome"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
@@ -73,9 +73,9 @@
 	return Observed{node.FleetSeen{Document: document, Revision: 1}}
 }
 
-func (b *bench) list(status platform.WorkerStatus) Event {
-	return Observed{node.WorkersListed{Asked: b.now, Workers: []platform.Worker{
-		{ID: "w1", Status: status, BootID: 1}, {ID: "w2", Status: platform.WorkerLive, BootID: 1},
+func (b *bench) list(status infra.WorkerStatus) Event {
+	return Observed{node.WorkersListed{Asked: b.now, Workers: []infra.Worker{
+		{ID: "w1", Status: status, BootID: 1}, {ID: "w2", Status: infra.WorkerLive, BootID: 1},
 	}}}
 }
 
@@ -120,12 +120,12 @@
 		fresh  time.Duration      // after it
 	}{
 		"store":                      {(*bench).confirmed, membership.VouchPeriod},
-		"VM list":                    {func(b *bench) Event { return b.list(platform.WorkerLive) }, membership.VouchPeriod},
+		"VM list":                    {func(b *bench) Event { return b.list(infra.WorkerLive) }, membership.VouchPeriod},
 		"peer":                       {func(b *bench) Event { return b.peer(1, 0, 0) }, membership.VouchPeriod},
 		"peer with an aged view":     {func(b *bench) Event { return b.peer(1, 0, time.Second) }, membership.VouchPeriod - time.Second},
 		"peer with an older fleet":   {func(b *bench) Event { return b.peer(0, 0, 0) }, membership.VouchPeriod},
 		"peer with a later fleet":    {func(b *bench) Event { return b.peer(2, 0, 0) }, 0},
-		"failed list":                {func(*bench) Event { return Observed{node.WorkersListed{Err: platform.ErrUnavailable}} }, 0},
+		"failed list":                {func(*bench) Event { return Observed{node.WorkersListed{Err: infra.ErrUnavailable}} }, 0},
 		"lost watch":                 {func(*bench) Event { return Observed{node.StoreLost{}} }, 0},
 		"peer that was not asked":    {unasked, 0},
 		"a fleet document by itself": {func(b *bench) Event { return b.fleet(2, nil) }, 0},
@@ -178,10 +178,10 @@
 		}, 0, false},
 		"returned":           {func(b *bench) []Event { return []Event{b.fleet(2, draining), b.fleet(3, nil)} }, 0, true},
 		"an older document":  {func(b *bench) []Event { return []Event{b.fleet(3, draining), b.fleet(2, nil)} }, 0, false},
-		"listed as leaving":  {func(b *bench) []Event { return []Event{b.list(platform.WorkerLeaving)} }, 0, false},
-		"listed as draining": {func(b *bench) []Event { return []Event{b.list(platform.WorkerLive), b.list(platform.WorkerDraining)} }, 0, false},
+		"listed as leaving":  {func(b *bench) []Event { return []Event{b.list(infra.WorkerLeaving)} }, 0, false},
+		"listed as draining": {func(b *bench) []Event { return []Event{b.list(infra.WorkerLive), b.list(infra.WorkerDraining)} }, 0, false},
 		"listed as leaving before the last change": {func(b *bench) []Event {
-			return []Event{b.list(platform.WorkerLeaving), b.fleet(2, draining), b.fleet(3, nil)}
+			return []Event{b.list(infra.WorkerLeaving), b.fleet(2, draining), b.fleet(3, nil)}
 		}, 0, false},
 		"refused":            {refusal, 0, false},
 		"refused long ago":   {refusal, refusalMemory, true},
@@ -297,7 +297,7 @@
 func TestSnapshots(t *testing.T) {
 	b := newBench(t)
 	b.wait(time.Second)
-	b.step(b.confirmed(), b.list(platform.WorkerLive))
+	b.step(b.confirmed(), b.list(infra.WorkerLive))
 	count, first := len(b.snapshots), b.snapshot()
 	b.wait(freshnessStep / 2)
 	b.step()
--- a/platform/httpapi/client.go
+++ b/infra/httpapi/client.go
@@ -1,4 +1,4 @@
-// Package httpapi is the HTTP client of the port platform.Platform, and the
+// Package httpapi is the HTTP client of the port infra.Platform, and the
 // protocol that it shares with the stand-in.
 package httpapi
 
@@ -17,7 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 )
 
 const (
@@ -25,7 +25,7 @@
 	idleTimeout = 30 * time.Second
 )
 
-// Client implements platform.Platform.
+// Client implements infra.Platform.
 type Client struct {
 	base string
 	http *http.Client
@@ -35,10 +35,10 @@
 // listed is a VM list with the entity tag under which the platform gave it.
 type listed struct {
 	tag     string
-	workers []platform.Worker
+	workers []infra.Worker
 }
 
-var _ platform.Platform = (*Client)(nil)
+var _ infra.Platform = (*Client)(nil)
 
 // New returns a client of the platform at the base URL. Time limits come from
 // the contexts of the calls.
@@ -54,14 +54,14 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// ListWorkers implements platform.Platform. The request is conditional on the
+// ListWorkers implements infra.Platform. The request is conditional on the
 // entity tag of the last list, because every process polls the whole list: an
 // unchanged list is not sent again, and a changed one is compressed if the
 // platform does so. Callers must not modify the list, which may be returned again.
-func (c *Client) ListWorkers(ctx context.Context) ([]platform.Worker, error) {
+func (c *Client) ListWorkers(ctx context.Context) ([]infra.Worker, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+PathWorkers, http.NoBody)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrRejected, err)
+		return nil, fmt.Errorf("%w: %w", infra.ErrRejected, err)
 	}
 	last := c.list.Load()
 	if last != nil {
@@ -69,13 +69,13 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusNotModified && last != nil {
 		return last.workers, nil
 	}
-	var workers []platform.Worker
+	var workers []infra.Worker
 	if err := decode(response, &workers); err != nil {
 		return nil, err
 	}
@@ -85,56 +85,56 @@
 	return workers, nil
 }
 
-// GetWorker implements platform.Platform.
-func (c *Client) GetWorker(ctx context.Context, worker string) (platform.Worker, error) {
-	var row platform.Worker
+// GetWorker implements infra.Platform.
+func (c *Client) GetWorker(ctx context.Context, worker string) (infra.Worker, error) {
+	var row infra.Worker
 	err := c.do(ctx, http.MethodGet, PathWorkers+"/"+url.PathEscape(worker), nil, &row)
 	return row, err
 }
 
-// Drain implements platform.Platform.
+// Drain implements infra.Platform.
 func (c *Client) Drain(ctx context.Context, worker, operation string) error {
 	return c.post(ctx, PathDrain, WorkerRequest{Worker: worker, Operation: operation})
 }
 
-// Undrain implements platform.Platform.
+// Undrain implements infra.Platform.
 func (c *Client) Undrain(ctx context.Context, worker, operation string) error {
 	return c.post(ctx, PathUndrain, WorkerRequest{Worker: worker, Operation: operation})
 }
 
-// Reboot implements platform.Platform.
+// Reboot implements infra.Platform.
 func (c *Client) Reboot(ctx context.Context, worker, operation string) error {
 	return c.post(ctx, PathReboot, WorkerRequest{Worker: worker, Operation: operation})
 }
 
-// Assign implements platform.Platform.
+// Assign implements infra.Platform.
 func (c *Client) Assign(ctx context.Context, worker, pool, operation string) error {
 	return c.post(ctx, PathAssign, WorkerRequest{Worker: worker, Operation: operation, Pool: pool})
 }
 
-// StartTask implements platform.Platform.
-func (c *Client) StartTask(ctx context.Context, spec platform.TaskSpec) error {
+// StartTask implements infra.Platform.
+func (c *Client) StartTask(ctx context.Context, spec infra.TaskSpec) error {
 	return c.post(ctx, PathTasks, spec)
 }
 
-// ListTasks implements platform.Platform.
-func (c *Client) ListTasks(ctx context.Context) ([]platform.Task, error) {
-	var tasks []platform.Task
+// ListTasks implements infra.Platform.
+func (c *Client) ListTasks(ctx context.Context) ([]infra.Task, error) {
+	var tasks []infra.Task
 	err := c.do(ctx, http.MethodGet, PathTasks, nil, &tasks)
 	return tasks, err
 }
 
-// RenewTasks implements platform.Platform.
+// RenewTasks implements infra.Platform.
 func (c *Client) RenewTasks(ctx context.Context, operations []string, lease time.Duration) error {
 	return c.post(ctx, PathTasksRenew, RenewRequest{Operations: operations, Lease: lease})
 }
 
-// CheckpointTask implements platform.Platform.
+// CheckpointTask implements infra.Platform.
 func (c *Client) CheckpointTask(ctx context.Context, operation string) error {
 	return c.post(ctx, PathTasksControl, TaskRequest{Operation: operation, Action: ActionCheckpoint})
 }
 
-// ThrottleTask implements platform.Platform.
+// ThrottleTask implements infra.Platform.
 func (c *Client) ThrottleTask(ctx context.Context, operation string, throttled bool) error {
 	action := ActionUnthrottle
 	if throttled {
@@ -143,7 +143,7 @@
 	return c.post(ctx, PathTasksControl, TaskRequest{Operation: operation, Action: action})
 }
 
-// StopTask implements platform.Platform.
+// StopTask implements infra.Platform.
 func (c *Client) StopTask(ctx context.Context, operation string) error {
 	return c.post(ctx, PathTasksControl, TaskRequest{Operation: operation, Action: ActionStop})
 }
@@ -151,7 +151,7 @@
 func (c *Client) post(ctx context.Context, path string, request any) error {
 	body, err := json.Marshal(request)
 	if err != nil {
-		return fmt.Errorf("%w: encode request: %w", platform.ErrRejected, err)
+		return fmt.Errorf("%w: encode request: %w", infra.ErrRejected, err)
 	}
 	return c.do(ctx, http.MethodPost, path, body, nil)
 }
@@ -159,12 +159,12 @@
 func (c *Client) do(ctx context.Context, method, path string, body []byte, answer any) error {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrRejected, err)
+		return fmt.Errorf("%w: %w", infra.ErrRejected, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 	}
 	defer response.Body.Close()
 	return decode(response, answer)
@@ -174,7 +174,7 @@
 func decode(response *http.Response, answer any) error {
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return fmt.Errorf("%w: read answer: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: read answer: %w", infra.ErrUnavailable, err)
 	}
 	if response.StatusCode != http.StatusOK {
 		return failure(response.StatusCode, content)
@@ -183,7 +183,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(content, answer); err != nil {
-		return fmt.Errorf("%w: decode answer: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: decode answer: %w", infra.ErrUnavailable, err)
 	}
 	return nil
 }
@@ -193,12 +193,12 @@
 	if json.Unmarshal(content, &body) != nil {
 		body.Error = "answer is not JSON"
 	}
-	kind := platform.ErrUnavailable
+	kind := infra.ErrUnavailable
 	switch status {
 	case http.StatusNotFound:
-		kind = platform.ErrNotFound
+		kind = infra.ErrNotFound
 	case http.StatusBadRequest, http.StatusConflict:
-		kind = platform.ErrRejected
+		kind = infra.ErrRejected
 	}
 	return errors.Newf("%w: status %d: %s", kind, status, body.Error)
 }
--- a/platform/httpapi/client_test.go
+++ b/infra/httpapi/client_test.go
@@ -6,7 +6,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 )
 
 // listServer serves a list under a tag and counts the answers with content.
@@ -27,7 +27,7 @@
 	_, _ = w.Write([]byte(s.body))
 }
 
-func list(t *testing.T, c *Client) []platform.Worker {
+func list(t *testing.T, c *Client) []infra.Worker {
 	t.Helper()
 	workers, err := c.ListWorkers(context.Background())
 	if err != nil {
@@ -49,7 +49,7 @@
 		t.Errorf("%+v after %d full answers, want w001 after 1", again, served.full)
 	}
 	served.tag, served.body = `"2"`, `[{"id":"w001","status":"leaving"}]`
-	if changed := list(t, c); changed[0].Status != platform.WorkerLeaving || served.full != 2 {
+	if changed := list(t, c); changed[0].Status != infra.WorkerLeaving || served.full != 2 {
 		t.Errorf("%+v after %d full answers, want a leaving worker after 2", changed, served.full)
 	}
 }
--- a/platform/platform.go
+++ b/infra/platform.go
@@ -1,7 +1,7 @@
-// Package platform is the port to the platform's VM and task interface: the
+// Package infra is the port to the platform's VM and task interface: the
 // lagging VM list, drain, reboot and pool assignment of workers, and tasks under
 // leases. The HTTP client lives in platform/httpapi.
-package platform
+package infra
 
 import (
 	"context"
@@ -13,12 +13,12 @@
 // Errors of the port.
 var (
 	// ErrNotFound means that the worker or task does not exist.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("infra: not found")
 	// ErrUnavailable means that the platform did not answer; calls carry an
 	// operation ID and may be repeated.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("infra: unavailable")
 	// ErrRejected means that the platform refuses the call for good.
-	ErrRejected = errors.New("platform: rejected")
+	ErrRejected = errors.New("infra: rejected")
 )
 
 // WorkerStatus is the platform's own view of a VM.
--- a/measure/capacity/codec.go
+++ b/measure/capacity/codec.go
@@ -17,7 +17,7 @@
 	"github.com/waxwingbridge/waxwingbridge/peerapi/peerpb"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/table"
 )
@@ -73,7 +73,7 @@
 	list := must(json.Marshal(s.machines.list()))
 	r.add("VM list: size compressed", "KB", x, float64(len(compressed(list)))/kilobyte)
 	r.add("VM list: decode", "ms", x, cost(func() {
-		var workers []platform.Worker
+		var workers []infra.Worker
 		must(0, json.Unmarshal(list, &workers))
 	}))
 	document := must(node.EncodeFleet(s.fleet.Document))
@@ -112,10 +112,10 @@
 }
 
 func measureTasks(s *site, r *report, x float64) {
-	tasks := make([]platform.Task, len(s.running))
+	tasks := make([]infra.Task, len(s.running))
 	for i, operation := range s.running {
-		tasks[i] = platform.Task{
-			Operation: operation, Job: "job-000001", Worker: "w001", Status: platform.TaskRunning,
+		tasks[i] = infra.Task{
+			Operation: operation, Job: "job-000001", Worker: "w001", Status: infra.TaskRunning,
 			UsedMilliCores: jobUsedCores * milliPerCore, UsedMemoryMB: jobUsedMemory, PowerWatts: jobWattsPerJob,
 		}
 	}
@@ -123,7 +123,7 @@
 	r.add("task list: running tasks", "", x, float64(len(tasks)))
 	r.add("task list: size", "KB", x, float64(len(data))/kilobyte)
 	r.add("task list: decode", "ms", x, cost(func() {
-		var decoded []platform.Task
+		var decoded []infra.Task
 		must(0, json.Unmarshal(data, &decoded))
 	}))
 }
--- a/measure/capacity/fixture.go
+++ b/measure/capacity/fixture.go
@@ -6,7 +6,7 @@
 
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	standin "github.com/waxwingbridge/waxwingbridge/standin/platform"
 )
@@ -54,7 +54,7 @@
 }
 
 // list returns the rows of the VM list. The last pool is the spare pool.
-func (z size) list() []platform.Worker {
+func (z size) list() []infra.Worker {
 	spec := standin.FleetSpec{Zones: z.zones, RackSize: rackSize, Cores: cores, MemoryMB: memoryMB, TargetHost: "10.20.30.40", FirstPort: 7101}
 	spare := min(spareWorkers, z.workers/z.pools*2)
 	for i, name := range z.poolNames() {
--- a/measure/capacity/machines.go
+++ b/measure/capacity/machines.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/fleet"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 )
 
 // rebootTime of a worker in the simulation.
@@ -14,7 +14,7 @@
 
 // machines is a platform that executes calls at once and whose list does not lag.
 type machines struct {
-	rows   []platform.Worker
+	rows   []infra.Worker
 	index  map[string]int
 	booted map[string]time.Time // end of the reboot in progress
 }
@@ -32,7 +32,7 @@
 	for worker, end := range m.booted {
 		if !now.Before(end) {
 			row := &m.rows[m.index[worker]]
-			row.Status, row.BootID = platform.WorkerDraining, row.BootID+1
+			row.Status, row.BootID = infra.WorkerDraining, row.BootID+1
 			delete(m.booted, worker)
 		}
 	}
@@ -41,25 +41,25 @@
 	}
 	for i := range m.rows {
 		m.rows[i].PowerWatts = 200 + random.Intn(300)
-		if m.rows[i].Status == platform.WorkerLive {
+		if m.rows[i].Status == infra.WorkerLive {
 			m.rows[i].Requests = random.Intn(9)
 		}
 	}
 }
 
-func (m *machines) list() []platform.Worker { return slices.Clone(m.rows) }
+func (m *machines) list() []infra.Worker { return slices.Clone(m.rows) }
 
 func (m *machines) call(call fleet.Call, now time.Time) {
 	row := &m.rows[m.index[call.Worker]]
 	row.Operation = call.Operation
 	switch call.Kind {
 	case fleet.CallDrain:
-		row.Status, row.Requests = platform.WorkerDraining, 0
+		row.Status, row.Requests = infra.WorkerDraining, 0
 	case fleet.CallReboot:
-		row.Status = platform.WorkerRebooting
+		row.Status = infra.WorkerRebooting
 		m.booted[call.Worker] = now.Add(rebootTime)
 	case fleet.CallUndrain:
-		row.Status = platform.WorkerLive
+		row.Status = infra.WorkerLive
 	case fleet.CallAssign:
 		row.Pool = call.Pool
 	}
--- a/node/events.go
+++ b/node/events.go
@@ -5,7 +5,7 @@
 
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/idempotency"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
@@ -48,7 +48,7 @@
 	// WorkersListed is one answer of the platform's lagging list; Asked is the
 	// moment before the call.
 	WorkersListed struct {
-		Workers []platform.Worker
+		Workers []infra.Worker
 		Asked   time.Time
 		Err     error
 	}
--- a/node/process.go
+++ b/node/process.go
@@ -11,8 +11,8 @@
 
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/metrics"
-	"github.com/waxwingbridge/waxwingbridge/platform"
-	"github.com/waxwingbridge/waxwingbridge/platform/httpapi"
+	"github.com/waxwingbridge/waxwingbridge/infra"
+	"github.com/waxwingbridge/waxwingbridge/infra/httpapi"
 	"github.com/waxwingbridge/waxwingbridge/settings"
 	"github.com/waxwingbridge/waxwingbridge/store"
 	"github.com/waxwingbridge/waxwingbridge/store/etcdgateway"
@@ -26,7 +26,7 @@
 	Log      *events.Logger
 	Metrics  *metrics.Metrics
 	Store    *store.Budgeted
-	Platform platform.Platform
+	Platform infra.Platform
 	Lease    *store.ProcessLease
 
 	Public, Peers, Admin net.Listener
--- a/node/view.go
+++ b/node/view.go
@@ -8,7 +8,7 @@
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/idempotency"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -16,7 +16,7 @@
 
 // ListedWorker is the last row of the platform's list about a worker.
 type ListedWorker struct {
-	platform.Worker
+	infra.Worker
 	// StatusSince is the local time at which the list first showed this status.
 	StatusSince time.Time
 }
@@ -268,7 +268,7 @@
 	}
 }
 
-func (v *View) mergeListed(now time.Time, worker *platform.Worker) {
+func (v *View) mergeListed(now time.Time, worker *infra.Worker) {
 	id, ok := v.listedIndex.Get(worker.ID)
 	if !ok {
 		id = v.Listed.Insert(ListedWorker{Worker: *worker, StatusSince: now})
@@ -313,10 +313,10 @@
 		return false
 	}
 	listed := v.ListedWorker(worker.ID)
-	if listed == nil || listed.Status == platform.WorkerLive || listed.BootID < worker.BootID {
+	if listed == nil || listed.Status == infra.WorkerLive || listed.BootID < worker.BootID {
 		return true
 	}
-	if listed.Status == platform.WorkerLeaving {
+	if listed.Status == infra.WorkerLeaving {
 		return false
 	}
 	return !listed.StatusSince.After(v.FleetChanged[worker.ID])
--- a/node/watcher.go
+++ b/node/watcher.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
 
@@ -69,7 +69,7 @@
 }
 
 // ListWorkers polls the platform's VM list until the context ends.
-func ListWorkers(ctx context.Context, p platform.Platform, interval time.Duration, post Post) {
+func ListWorkers(ctx context.Context, p infra.Platform, interval time.Duration, post Post) {
 	for {
 		asked := time.Now()
 		callContext, cancel := context.WithTimeout(ctx, platformTimeout)
--- a/standin/platform/admin.go
+++ b/standin/platform/admin.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/store/memory"
 )
 
@@ -18,7 +18,7 @@
 	PathOperations = "/standin/operations"  // GET returns the list of ExecutedOperation
 	PathInitiative = "/standin/initiative"  // POST takes an InitiativeRequest
 	PathCutWatches = "/standin/cut-watches" // POST ends all watches of the store
-	PathAddWorkers = "/standin/workers"     // POST adds a list of platform.Worker
+	PathAddWorkers = "/standin/workers"     // POST adds a list of infra.Worker
 )
 
 // Faults are the switches. PUT and SetFaults replace all of them.
@@ -99,7 +99,7 @@
 }
 
 // AddWorkers adds workers, such as replacements. Known IDs are skipped.
-func (s *Server) AddWorkers(workers ...platform.Worker) {
+func (s *Server) AddWorkers(workers ...infra.Worker) {
 	s.control(func(st *state, _ time.Time) {
 		for _, worker := range workers {
 			st.addWorker(worker)
@@ -125,7 +125,7 @@
 		s.Take(request)
 		return nil
 	})
-	admin(mux, "POST "+PathAddWorkers, func(workers []platform.Worker) error {
+	admin(mux, "POST "+PathAddWorkers, func(workers []infra.Worker) error {
 		s.AddWorkers(workers...)
 		return nil
 	})
--- a/standin/platform/api.go
+++ b/standin/platform/api.go
@@ -11,8 +11,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/waxwingbridge/waxwingbridge/platform"
-	"github.com/waxwingbridge/waxwingbridge/platform/httpapi"
+	"github.com/waxwingbridge/waxwingbridge/infra"
+	"github.com/waxwingbridge/waxwingbridge/infra/httpapi"
 )
 
 const maxAPIBody = 1 << 20
@@ -29,7 +29,7 @@
 	for path, kind := range kinds {
 		mutation(s, api, path, func(body httpapi.WorkerRequest) *request { return &request{kind: kind, worker: body} })
 	}
-	mutation(s, api, httpapi.PathTasks, func(body platform.TaskSpec) *request {
+	mutation(s, api, httpapi.PathTasks, func(body infra.TaskSpec) *request {
 		return &request{kind: requestStart, spec: body}
 	})
 	mutation(s, api, httpapi.PathTasksRenew, func(body httpapi.RenewRequest) *request {
@@ -77,9 +77,9 @@
 func writeAPIError(w http.ResponseWriter, err error) {
 	status := http.StatusServiceUnavailable
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, infra.ErrRejected):
 		status = http.StatusConflict
 	}
 	writeJSON(w, status, httpapi.ErrorBody{Error: err.Error()})
@@ -143,8 +143,8 @@
 }
 
 // Worker returns the current state of a worker, without its target's count.
-func (s *Server) Worker(id string) (platform.Worker, bool) {
-	var found platform.Worker
+func (s *Server) Worker(id string) (infra.Worker, bool) {
+	var found infra.Worker
 	var ok bool
 	s.control(func(st *state, _ time.Time) {
 		if row, worker := st.worker(id); worker != nil {
--- a/standin/platform/fleet.go
+++ b/standin/platform/fleet.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/settings"
 	"github.com/waxwingbridge/waxwingbridge/standin/target"
 )
@@ -58,13 +58,13 @@
 // BuildWorkers returns the workers of a fleet, named w001, w002 and so on. The
 // racks, named r01 and so on, are spread over the zones (az1, az2, ...) in turn,
 // and the workers of each pool are dealt to the racks in turn.
-func BuildWorkers(spec FleetSpec) []platform.Worker {
+func BuildWorkers(spec FleetSpec) []infra.Worker {
 	total := 0
 	for _, pool := range spec.Pools {
 		total += pool.Workers
 	}
 	racks := (total + spec.RackSize - 1) / spec.RackSize
-	workers := make([]platform.Worker, 0, total)
+	workers := make([]infra.Worker, 0, total)
 	for _, pool := range spec.Pools {
 		for range pool.Workers {
 			workers = append(workers, buildWorker(spec, pool.Name, len(workers), racks))
@@ -73,9 +73,9 @@
 	return workers
 }
 
-func buildWorker(spec FleetSpec, pool string, number, racks int) platform.Worker {
+func buildWorker(spec FleetSpec, pool string, number, racks int) infra.Worker {
 	rack := number % racks
-	worker := platform.Worker{
+	worker := infra.Worker{
 		ID:               target.WorkerID(number),
 		AvailabilityZone: fmt.Sprintf("az%d", rack%spec.Zones+1),
 		Rack:             fmt.Sprintf("r%02d", rack+1),
@@ -83,7 +83,7 @@
 		Cores:            spec.Cores,
 		MemoryMB:         spec.MemoryMB,
 		Accelerators:     spec.Accelerators,
-		Status:           platform.WorkerLive,
+		Status:           infra.WorkerLive,
 		BootID:           1,
 	}
 	if spec.FirstPort > 0 {
--- a/standin/platform/initiative.go
+++ b/standin/platform/initiative.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/table"
 )
 
@@ -16,7 +16,7 @@
 	AvailabilityZone string   `json:"availability_zone,omitempty"`
 }
 
-func (x Selector) matches(worker *platform.Worker) bool {
+func (x Selector) matches(worker *infra.Worker) bool {
 	return slices.Contains(x.Workers, worker.ID) ||
 		(x.Rack != "" && x.Rack == worker.Rack) ||
 		(x.AvailabilityZone != "" && x.AvailabilityZone == worker.AvailabilityZone)
@@ -61,7 +61,7 @@
 		}
 		switch request.Initiative {
 		case Fail:
-			row.Status, row.due = platform.WorkerDown, time.Time{}
+			row.Status, row.due = infra.WorkerDown, time.Time{}
 			s.command(id, command{kind: commandDown, value: true})
 		case Recover:
 			s.recoverWorker(now, id, row)
@@ -72,20 +72,20 @@
 }
 
 func (s *state) recoverWorker(now time.Time, id table.ID, row *workerRow) {
-	if row.Status != platform.WorkerDown {
+	if row.Status != infra.WorkerDown {
 		return
 	}
-	row.Status = platform.WorkerRebooting
+	row.Status = infra.WorkerRebooting
 	s.endTasks(now, id, "worker rebooted")
 	s.command(id, command{kind: commandDraining, value: false})
-	s.command(id, command{kind: commandDown, value: false, then: platform.WorkerLive, boots: true})
+	s.command(id, command{kind: commandDown, value: false, then: infra.WorkerLive, boots: true})
 }
 
 func (s *state) leave(now time.Time, id table.ID, row *workerRow, grace time.Duration) {
-	if row.Status == platform.WorkerDown || row.Status == platform.WorkerLeaving {
+	if row.Status == infra.WorkerDown || row.Status == infra.WorkerLeaving {
 		return
 	}
-	row.Status = platform.WorkerLeaving
+	row.Status = infra.WorkerLeaving
 	row.due = now.Add(grace)
 	s.command(id, command{kind: commandDraining, value: true})
 }
@@ -118,14 +118,14 @@
 
 // appliesTo reports whether the worker still waits for this command: it may have
 // failed, left or been rebooted since the command was queued.
-func (c command) appliesTo(status platform.WorkerStatus) bool {
+func (c command) appliesTo(status infra.WorkerStatus) bool {
 	switch {
 	case c.then == "":
 		return false
 	case c.boots:
-		return status == platform.WorkerRebooting
+		return status == infra.WorkerRebooting
 	default:
-		return status == platform.WorkerLive || status == platform.WorkerDraining
+		return status == infra.WorkerLive || status == infra.WorkerDraining
 	}
 }
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -18,7 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/standin/listen"
 	"github.com/waxwingbridge/waxwingbridge/store/memory"
 )
@@ -43,7 +43,7 @@
 type Options struct {
 	ListenStore    string
 	ListenPlatform string
-	Workers        []platform.Worker
+	Workers        []infra.Worker
 	Targets        TargetControl // nil means workers without targets
 	Store          memory.Options
 	ListLag        time.Duration // greatest age of the VM list
@@ -177,7 +177,7 @@
 			return nil
 		}
 		if row.kind == commandDraining || s.running.Err() != nil {
-			return fmt.Errorf("%w: target of worker %s: %w", platform.ErrUnavailable, row.name, err)
+			return fmt.Errorf("%w: target of worker %s: %w", infra.ErrUnavailable, row.name, err)
 		}
 		select {
 		case <-s.running.Done():
@@ -210,15 +210,15 @@
 func (s *Server) call(ctx context.Context, r *request) (response, error) {
 	r.answer = make(chan response, 1)
 	if err := s.loop.Post(ctx, r); err != nil {
-		return response{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return response{}, fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 	}
 	select {
 	case answer := <-r.answer:
 		return answer, answer.err
 	case <-ctx.Done():
-		return response{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+		return response{}, fmt.Errorf("%w: %w", infra.ErrUnavailable, ctx.Err())
 	case <-s.running.Done():
-		return response{}, errors.Newf("%w: stand-in is closed", platform.ErrUnavailable)
+		return response{}, errors.Newf("%w: stand-in is closed", infra.ErrUnavailable)
 	}
 }
 
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -11,8 +11,8 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/waxwingbridge/waxwingbridge/platform"
-	"github.com/waxwingbridge/waxwingbridge/platform/httpapi"
+	"github.com/waxwingbridge/waxwingbridge/infra"
+	"github.com/waxwingbridge/waxwingbridge/infra/httpapi"
 	"github.com/waxwingbridge/waxwingbridge/standin/target"
 	"github.com/waxwingbridge/waxwingbridge/store/etcdgateway"
 )
@@ -69,7 +69,7 @@
 
 func (f *fixture) rejects(what string, err error) {
 	f.t.Helper()
-	if !errors.Is(err, platform.ErrRejected) {
+	if !errors.Is(err, infra.ErrRejected) {
 		f.t.Errorf("%s: %v, want rejected", what, err)
 	}
 }
@@ -84,14 +84,14 @@
 	}
 }
 
-func (f *fixture) first() platform.Worker {
+func (f *fixture) first() infra.Worker {
 	f.t.Helper()
 	worker, err := f.client.GetWorker(f.ctx, "w001")
 	f.must(err)
 	return worker
 }
 
-func (f *fixture) task(operation string) platform.Task {
+func (f *fixture) task(operation string) infra.Task {
 	f.t.Helper()
 	tasks, err := f.client.ListTasks(f.ctx)
 	f.must(err)
@@ -100,10 +100,10 @@
 			return task
 		}
 	}
-	return platform.Task{}
+	return infra.Task{}
 }
 
-func (f *fixture) awaitTask(operation string, status platform.TaskStatus) platform.Task {
+func (f *fixture) awaitTask(operation string, status infra.TaskStatus) infra.Task {
 	f.t.Helper()
 	f.await("task "+operation+" "+string(status), func() bool { return f.task(operation).Status == status })
 	return f.task(operation)
@@ -111,7 +111,7 @@
 
 func (f *fixture) startTask(operation, job, payload string) {
 	f.t.Helper()
-	f.must(f.client.StartTask(f.ctx, platform.TaskSpec{
+	f.must(f.client.StartTask(f.ctx, infra.TaskSpec{
 		Operation: operation, Job: job, Worker: "w001", MilliCores: 1000, MemoryMB: 10, Lease: time.Minute, Payload: payload,
 	}))
 }
@@ -128,7 +128,7 @@
 	f.must(f.client.Drain(f.ctx, "w001", "op1"))
 	statuses, err := f.targets.Status(f.ctx)
 	f.must(err)
-	if w := f.first(); w.Status != platform.WorkerDraining || w.Operation != "op1" || !statuses[0].Draining {
+	if w := f.first(); w.Status != infra.WorkerDraining || w.Operation != "op1" || !statuses[0].Draining {
 		f.t.Fatalf("after the drain: %+v, target %+v", w, statuses[0])
 	}
 	f.must(f.client.Reboot(f.ctx, "w001", "op0")) // a rejected call may be repeated
@@ -138,7 +138,7 @@
 		return w.BootID == 2
 	})
 	f.must(f.client.Reboot(f.ctx, "w001", "op0"))
-	if w := f.first(); w.BootID != 2 || w.Status != platform.WorkerDraining {
+	if w := f.first(); w.BootID != 2 || w.Status != infra.WorkerDraining {
 		f.t.Errorf("after a repeated reboot: %+v", w)
 	}
 	f.must(f.client.Assign(f.ctx, "w001", "spare", "op1"))
@@ -147,9 +147,9 @@
 	f.await("list with the new pool", func() bool {
 		workers, err := f.client.ListWorkers(f.ctx)
 		f.must(err)
-		return len(workers) == 2 && workers[0].Pool == "spare" && workers[0].Status == platform.WorkerLive
+		return len(workers) == 2 && workers[0].Pool == "spare" && workers[0].Status == infra.WorkerLive
 	})
-	if err := f.client.Drain(f.ctx, "w009", "op3"); !errors.Is(err, platform.ErrNotFound) {
+	if err := f.client.Drain(f.ctx, "w009", "op3"); !errors.Is(err, infra.ErrNotFound) {
 		f.t.Errorf("drain of an unknown worker: %v", err)
 	}
 }
@@ -157,14 +157,14 @@
 // Guards against a repeated start that runs a task twice.
 func TestTaskStartIsIdempotentAfterLostAnswer(t *testing.T) {
 	f := startSite(t, false)
-	spec := platform.TaskSpec{Operation: "t1", Job: "j1", Worker: "w001", Lease: time.Minute, Payload: "run:1ms"}
+	spec := infra.TaskSpec{Operation: "t1", Job: "j1", Worker: "w001", Lease: time.Minute, Payload: "run:1ms"}
 	f.must(f.SetFaults(Faults{PlatformLoseAnswers: true}))
-	if err := f.client.StartTask(f.ctx, spec); !errors.Is(err, platform.ErrUnavailable) {
+	if err := f.client.StartTask(f.ctx, spec); !errors.Is(err, infra.ErrUnavailable) {
 		t.Fatalf("lost answer: %v", err)
 	}
 	f.must(f.SetFaults(Faults{}))
 	f.must(f.client.StartTask(f.ctx, spec))
-	f.awaitTask("t1", platform.TaskDone)
+	f.awaitTask("t1", infra.TaskDone)
 	if starts := f.Executions()["j1"]; starts != 1 {
 		t.Errorf("job started %d times", starts)
 	}
@@ -176,25 +176,25 @@
 	f.startTask("fails", "j1", "run:1ms fail")
 	f.startTask("hangs", "j2", "hang cores:3000 memory:77 watts:30")
 	f.startTask("kept", "j3", "run:1h")
-	if task := f.awaitTask("fails", platform.TaskFailed); task.Error == "" {
+	if task := f.awaitTask("fails", infra.TaskFailed); task.Error == "" {
 		t.Error("failed task without reason")
 	}
 	f.await("usage", func() bool { return f.task("hangs").UsedMilliCores == 3000 })
 	f.must(f.client.ThrottleTask(f.ctx, "hangs", true))
 	f.await("power of a throttled task", func() bool { return f.task("hangs").PowerWatts == 15 })
 	f.must(f.client.CheckpointTask(f.ctx, "kept"))
-	f.awaitTask("kept", platform.TaskCheckpointed)
+	f.awaitTask("kept", infra.TaskCheckpointed)
 	if w := f.first(); w.Tasks != 1 || w.PowerWatts != idleWatts+15 {
 		t.Errorf("worker %+v", w)
 	}
 	f.must(f.client.StopTask(f.ctx, "hangs"))
-	f.awaitTask("hangs", platform.TaskStopped)
-	f.rejects("unknown directive", f.client.StartTask(f.ctx, platform.TaskSpec{
+	f.awaitTask("hangs", infra.TaskStopped)
+	f.rejects("unknown directive", f.client.StartTask(f.ctx, infra.TaskSpec{
 		Operation: "bad", Worker: "w001", Lease: time.Minute, Payload: "sleep",
 	}))
 	f.must(f.SetFaults(Faults{FailingWorkers: []string{"w001"}}))
 	f.startTask("bad worker", "j4", "")
-	f.awaitTask("bad worker", platform.TaskFailed)
+	f.awaitTask("bad worker", infra.TaskFailed)
 }
 
 // Guards against a task that outlives its lease, and against a renewal that
@@ -205,9 +205,9 @@
 	f.must(f.client.RenewTasks(f.ctx, []string{"t1", "unknown"}, 200*time.Millisecond))
 	f.Take(InitiativeRequest{Selector: Selector{Rack: "r01"}, Initiative: Fail})
 	f.must(f.client.RenewTasks(f.ctx, []string{"t1"}, time.Hour))
-	f.awaitTask("t1", platform.TaskLeaseLapsed)
+	f.awaitTask("t1", infra.TaskLeaseLapsed)
 	f.Take(InitiativeRequest{Selector: Selector{Workers: []string{"w001"}}, Initiative: Recover})
-	f.await("recovery", func() bool { return f.first().Status == platform.WorkerLive })
+	f.await("recovery", func() bool { return f.first().Status == infra.WorkerLive })
 	if w := f.first(); w.BootID != 2 {
 		t.Errorf("recovered worker %+v", w)
 	}
@@ -217,7 +217,7 @@
 func TestLeavingWorkerGoes(t *testing.T) {
 	f := startSite(t, false)
 	f.Take(InitiativeRequest{Selector: Selector{AvailabilityZone: "az2"}, Initiative: Leave, GraceMS: 50})
-	if w, known := f.Worker("w002"); known && w.Status != platform.WorkerLeaving && w.Status != platform.WorkerDown {
+	if w, known := f.Worker("w002"); known && w.Status != infra.WorkerLeaving && w.Status != infra.WorkerDown {
 		t.Errorf("leaving worker %+v", w)
 	}
 	f.await("departure", func() bool {
@@ -246,28 +246,28 @@
 	f.must(f.client.Drain(f.ctx, "w001", "op1"))
 	f.must(f.client.Reboot(f.ctx, "w001", "op1"))
 	time.Sleep(100 * time.Millisecond) // longer than the reboot time and the lag
-	if w, _ := f.Worker("w001"); w.Status != platform.WorkerRebooting {
+	if w, _ := f.Worker("w001"); w.Status != infra.WorkerRebooting {
 		t.Errorf("hanging reboot: %+v", w)
 	}
-	if workers, err := f.client.ListWorkers(f.ctx); err != nil || workers[0].Status != platform.WorkerLive {
+	if workers, err := f.client.ListWorkers(f.ctx); err != nil || workers[0].Status != infra.WorkerLive {
 		t.Errorf("frozen list: %+v, %v", workers, err)
 	}
 	f.must(f.SetFaults(Faults{}))
 	f.await("end of the reboot", func() bool {
 		w, _ := f.Worker("w001")
-		return w.Status == platform.WorkerDraining
+		return w.Status == infra.WorkerDraining
 	})
 	if _, err := s.Get(f.ctx, "a"); err != nil {
 		t.Errorf("store after its return: %v", err)
 	}
 	f.must(f.SetFaults(Faults{PlatformDown: true}))
-	if _, err := f.client.ListWorkers(f.ctx); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := f.client.ListWorkers(f.ctx); !errors.Is(err, infra.ErrUnavailable) {
 		t.Errorf("platform that is down: %v", err)
 	}
 	f.must(f.SetFaults(Faults{PlatformSlowMS: 60_000}))
 	short, cancel := context.WithTimeout(f.ctx, 100*time.Millisecond)
 	defer cancel()
-	if _, err := f.client.ListWorkers(short); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := f.client.ListWorkers(short); !errors.Is(err, infra.ErrUnavailable) {
 		t.Errorf("slow platform: %v", err)
 	}
 	if calls := f.Calls(); calls.Platform["reboot"] != 1 || calls.Store["get"] == 0 {
--- a/standin/platform/requests.go
+++ b/standin/platform/requests.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
-	"github.com/waxwingbridge/waxwingbridge/platform"
-	"github.com/waxwingbridge/waxwingbridge/platform/httpapi"
+	"github.com/waxwingbridge/waxwingbridge/infra"
+	"github.com/waxwingbridge/waxwingbridge/infra/httpapi"
 	"github.com/waxwingbridge/waxwingbridge/table"
 )
 
@@ -36,15 +36,15 @@
 type request struct {
 	kind   requestKind
 	worker httpapi.WorkerRequest
-	spec   platform.TaskSpec
+	spec   infra.TaskSpec
 	renew  httpapi.RenewRequest
 	task   httpapi.TaskRequest
 	answer chan response // holds one response, so the loop never waits for the caller
 }
 
 type response struct {
-	workers []platform.Worker
-	tasks   []platform.Task
+	workers []infra.Worker
+	tasks   []infra.Task
 	err     error
 }
 
@@ -85,15 +85,15 @@
 		s.answer(r, response{err: notFound("worker", r.worker.Worker)})
 		return
 	}
-	s.answer(r, response{workers: []platform.Worker{s.view(id, row)}})
+	s.answer(r, response{workers: []infra.Worker{s.view(id, row)}})
 }
 
 func notFound(kind, name string) error {
-	return errors.Newf("%w: %s %q", platform.ErrNotFound, kind, name)
+	return errors.Newf("%w: %s %q", infra.ErrNotFound, kind, name)
 }
 
 func rejected(format string, values ...any) error {
-	return errors.Newf("%w: %s", platform.ErrRejected, fmt.Sprintf(format, values...))
+	return errors.Newf("%w: %s", infra.ErrRejected, fmt.Sprintf(format, values...))
 }
 
 // once executes a mutating call unless its operation ID was seen before; then it
@@ -185,7 +185,7 @@
 	case requestReboot:
 		return true, s.reboot(now, id, row)
 	case requestAssign:
-		if row.Status != platform.WorkerDraining {
+		if row.Status != infra.WorkerDraining {
 			return true, rejected("worker %s is %s, not draining", row.ID, row.Status)
 		}
 		row.Pool = r.worker.Pool
@@ -197,10 +197,10 @@
 
 func (s *state) drain(operation, id table.ID, row *workerRow) (bool, error) {
 	switch row.Status {
-	case platform.WorkerDown, platform.WorkerRebooting:
+	case infra.WorkerDown, infra.WorkerRebooting:
 		return true, rejected("worker %s is %s", row.ID, row.Status)
-	case platform.WorkerLive:
-		s.command(id, command{kind: commandDraining, value: true, operation: operation, then: platform.WorkerDraining})
+	case infra.WorkerLive:
+		s.command(id, command{kind: commandDraining, value: true, operation: operation, then: infra.WorkerDraining})
 		return false, nil
 	default: // refuses new work already
 		return true, nil
@@ -209,9 +209,9 @@
 
 func (s *state) undrain(operation, id table.ID, row *workerRow) (bool, error) {
 	switch row.Status {
-	case platform.WorkerLive, platform.WorkerDraining:
+	case infra.WorkerLive, infra.WorkerDraining:
 		// Also sent to a live worker, whose drain may still be on its way.
-		s.command(id, command{kind: commandDraining, value: false, operation: operation, then: platform.WorkerLive})
+		s.command(id, command{kind: commandDraining, value: false, operation: operation, then: infra.WorkerLive})
 		return false, nil
 	default:
 		return true, rejected("worker %s is %s", row.ID, row.Status)
@@ -219,10 +219,10 @@
 }
 
 func (s *state) reboot(now time.Time, id table.ID, row *workerRow) error {
-	if row.Status != platform.WorkerDraining {
+	if row.Status != infra.WorkerDraining {
 		return rejected("worker %s is %s, not draining", row.ID, row.Status)
 	}
-	row.Status = platform.WorkerRebooting
+	row.Status = infra.WorkerRebooting
 	row.due = now.Add(s.options.RebootTime)
 	s.command(id, command{kind: commandDown, value: true})
 	s.endTasks(now, id, "worker rebooted")
@@ -232,7 +232,7 @@
 func (s *state) endTasks(now time.Time, worker table.ID, reason string) {
 	for _, task := range s.tasks.All() {
 		if task.worker == worker && task.active() {
-			task.end(now, platform.TaskFailed, reason)
+			task.end(now, infra.TaskFailed, reason)
 		}
 	}
 }
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/table"
 )
 
@@ -13,7 +13,7 @@
 )
 
 type workerRow struct {
-	platform.Worker
+	infra.Worker
 	// due is the end of a reboot, or the moment at which a leaving worker goes.
 	due      time.Time
 	gone     bool      // removed once its commands are done
@@ -26,7 +26,7 @@
 	kind      commandKind
 	value     bool
 	operation table.ID // answered when the command is done; zero means none
-	then      platform.WorkerStatus
+	then      infra.WorkerStatus
 	boots     bool // the worker has restarted when the command is done
 }
 
@@ -44,7 +44,7 @@
 }
 
 type taskRow struct {
-	platform.Task
+	infra.Task
 	behaviour
 	worker   table.ID
 	progress time.Duration // of behaviour.run, until since
@@ -54,13 +54,13 @@
 }
 
 func (t *taskRow) active() bool {
-	return t.Status == platform.TaskRunning || t.Status == platform.TaskThrottled
+	return t.Status == infra.TaskRunning || t.Status == infra.TaskThrottled
 }
 
 // settle adds the work done since the last change of speed.
 func (t *taskRow) settle(now time.Time) {
 	elapsed := now.Sub(t.since)
-	if t.Status == platform.TaskThrottled {
+	if t.Status == infra.TaskThrottled {
 		elapsed /= throttledSpeedFactor
 	}
 	t.progress += elapsed
@@ -73,13 +73,13 @@
 		return time.Time{}
 	}
 	left := t.run - t.progress
-	if t.Status == platform.TaskThrottled {
+	if t.Status == infra.TaskThrottled {
 		left *= throttledSpeedFactor
 	}
 	return t.since.Add(left)
 }
 
-func (t *taskRow) end(now time.Time, status platform.TaskStatus, reason string) {
+func (t *taskRow) end(now time.Time, status infra.TaskStatus, reason string) {
 	t.settle(now)
 	t.Status, t.Error, t.ended = status, reason, now
 	t.UsedMilliCores, t.UsedMemoryMB, t.PowerWatts = 0, 0, 0
@@ -134,7 +134,7 @@
 	checkpoints  map[string]time.Duration // progress by job
 	starts       map[string]int           // executions by job
 	calls        map[string]int64
-	published    []platform.Worker
+	published    []infra.Worker
 	publishAt    time.Time
 	sampleAt     time.Time
 
@@ -156,12 +156,12 @@
 	return s
 }
 
-func (s *state) addWorker(worker platform.Worker) {
+func (s *state) addWorker(worker infra.Worker) {
 	if _, exists := s.workerIDs.Get(worker.ID); exists {
 		return
 	}
 	if worker.Status == "" {
-		worker.Status = platform.WorkerLive
+		worker.Status = infra.WorkerLive
 	}
 	s.workerIDs.Put(worker.ID, s.workers.Insert(workerRow{Worker: worker}))
 }
@@ -180,13 +180,13 @@
 }
 
 // view returns the current state of a worker.
-func (s *state) view(id table.ID, row *workerRow) platform.Worker {
+func (s *state) view(id table.ID, row *workerRow) infra.Worker {
 	worker := row.Worker
 	worker.Tasks, worker.PowerWatts = 0, 0
 	switch row.Status {
-	case platform.WorkerDown:
+	case infra.WorkerDown:
 		return worker
-	case platform.WorkerRebooting:
+	case infra.WorkerRebooting:
 		worker.PowerWatts = rebootWatts
 	default:
 		worker.PowerWatts = idleWatts
@@ -201,7 +201,7 @@
 }
 
 func (t *taskRow) draw() int {
-	if t.Status == platform.TaskThrottled {
+	if t.Status == infra.TaskThrottled {
 		return t.watts / throttledSpeedFactor
 	}
 	return t.watts
--- a/standin/platform/systems.go
+++ b/standin/platform/systems.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/table"
 )
 
@@ -36,9 +36,9 @@
 			continue
 		}
 		if task.fails {
-			task.end(tick.Now, platform.TaskFailed, "task failed")
+			task.end(tick.Now, infra.TaskFailed, "task failed")
 		} else {
-			task.end(tick.Now, platform.TaskDone, "")
+			task.end(tick.Now, infra.TaskDone, "")
 		}
 	}
 }
@@ -46,13 +46,13 @@
 // runs reports whether the task makes progress; it does not on a dead worker.
 func (s *state) runs(task *taskRow) bool {
 	worker := s.workers.Get(task.worker)
-	return task.active() && worker != nil && worker.Status != platform.WorkerDown
+	return task.active() && worker != nil && worker.Status != infra.WorkerDown
 }
 
 func expireTaskLeases(s *state, tick engine.Tick) {
 	for _, task := range s.tasks.All() {
 		if task.active() && !tick.Now.Before(task.lease) {
-			task.end(tick.Now, platform.TaskLeaseLapsed, "lease lapsed")
+			task.end(tick.Now, infra.TaskLeaseLapsed, "lease lapsed")
 		}
 	}
 }
@@ -64,17 +64,17 @@
 			continue
 		}
 		row.due = time.Time{}
-		if row.Status == platform.WorkerRebooting {
-			s.command(id, command{kind: commandDown, value: false, then: platform.WorkerDraining, boots: true})
+		if row.Status == infra.WorkerRebooting {
+			s.command(id, command{kind: commandDown, value: false, then: infra.WorkerDraining, boots: true})
 			continue
 		}
-		row.Status, row.gone = platform.WorkerDown, true
+		row.Status, row.gone = infra.WorkerDown, true
 		s.command(id, command{kind: commandDown, value: true})
 	}
 }
 
 func (s *state) waits(row *workerRow) bool {
-	hangs := s.faults.RebootHangs && row.Status == platform.WorkerRebooting
+	hangs := s.faults.RebootHangs && row.Status == infra.WorkerRebooting
 	return !row.due.IsZero() && !hangs
 }
 
@@ -148,11 +148,11 @@
 	if s.faults.ListFrozen && s.published != nil {
 		return
 	}
-	published := make([]platform.Worker, 0, s.workers.Len())
+	published := make([]infra.Worker, 0, s.workers.Len())
 	for id, row := range s.workers.All() {
 		published = append(published, s.view(id, row))
 	}
-	slices.SortFunc(published, func(a, b platform.Worker) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(published, func(a, b infra.Worker) int { return strings.Compare(a.ID, b.ID) })
 	s.published = published // a new slice each time, so that answers may keep the old one
 }
 
--- a/standin/platform/tasks.go
+++ b/standin/platform/tasks.go
@@ -5,13 +5,13 @@
 	"strings"
 	"time"
 
-	"github.com/waxwingbridge/waxwingbridge/platform"
-	"github.com/waxwingbridge/waxwingbridge/platform/httpapi"
+	"github.com/waxwingbridge/waxwingbridge/infra"
+	"github.com/waxwingbridge/waxwingbridge/infra/httpapi"
 	"github.com/waxwingbridge/waxwingbridge/table"
 )
 
-func (s *state) startTask(now time.Time, spec platform.TaskSpec, id table.ID, row *workerRow) error {
-	if row.Status != platform.WorkerLive {
+func (s *state) startTask(now time.Time, spec infra.TaskSpec, id table.ID, row *workerRow) error {
+	if row.Status != infra.WorkerLive {
 		return rejected("worker %s is %s", row.ID, row.Status)
 	}
 	if spec.Lease <= 0 {
@@ -22,8 +22,8 @@
 		return rejected("%v", err)
 	}
 	task := taskRow{
-		Task: platform.Task{
-			Operation: spec.Operation, Job: spec.Job, Worker: spec.Worker, Status: platform.TaskRunning,
+		Task: infra.Task{
+			Operation: spec.Operation, Job: spec.Job, Worker: spec.Worker, Status: infra.TaskRunning,
 		},
 		behaviour: behaviour, worker: id, since: now, lease: now.Add(spec.Lease),
 	}
@@ -32,7 +32,7 @@
 	}
 	s.starts[spec.Job]++
 	if slices.Contains(s.faults.FailingWorkers, row.ID) {
-		task.end(now, platform.TaskFailed, "worker cannot run tasks")
+		task.end(now, infra.TaskFailed, "worker cannot run tasks")
 	}
 	s.taskIDs.Put(spec.Operation, s.tasks.Insert(task))
 	return nil
@@ -46,12 +46,12 @@
 	return s.tasks.Get(id)
 }
 
-func (s *state) listTasks() []platform.Task {
-	tasks := make([]platform.Task, 0, s.tasks.Len())
+func (s *state) listTasks() []infra.Task {
+	tasks := make([]infra.Task, 0, s.tasks.Len())
 	for _, row := range s.tasks.All() {
 		tasks = append(tasks, row.Task)
 	}
-	slices.SortFunc(tasks, func(a, b platform.Task) int { return strings.Compare(a.Operation, b.Operation) })
+	slices.SortFunc(tasks, func(a, b infra.Task) int { return strings.Compare(a.Operation, b.Operation) })
 	return tasks
 }
 
@@ -63,7 +63,7 @@
 		if task == nil || !task.active() {
 			continue
 		}
-		if worker := s.workers.Get(task.worker); worker == nil || worker.Status == platform.WorkerDown {
+		if worker := s.workers.Get(task.worker); worker == nil || worker.Status == infra.WorkerDown {
 			continue
 		}
 		task.lease = now.Add(renew.Lease)
@@ -84,15 +84,15 @@
 	case httpapi.ActionCheckpoint:
 		task.settle(now)
 		s.checkpoints[task.Job] = task.progress
-		task.end(now, platform.TaskCheckpointed, "")
+		task.end(now, infra.TaskCheckpointed, "")
 	case httpapi.ActionThrottle:
 		task.settle(now)
-		task.Status = platform.TaskThrottled
+		task.Status = infra.TaskThrottled
 	case httpapi.ActionUnthrottle:
 		task.settle(now)
-		task.Status = platform.TaskRunning
+		task.Status = infra.TaskRunning
 	case httpapi.ActionStop:
-		task.end(now, platform.TaskStopped, "")
+		task.end(now, infra.TaskStopped, "")
 	default:
 		return rejected("action %q", change.Action)
 	}
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -12,7 +12,7 @@
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/gateway"
 	"github.com/waxwingbridge/waxwingbridge/outcome"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/standin/target"
 )
 
@@ -171,7 +171,7 @@
 // bootID asks the platform directly.
 func (s *site) bootID(worker string) int64 {
 	s.t.Helper()
-	var row platform.Worker
+	var row infra.Worker
 	s.eventually(readyLimit, "the platform answers", func() bool {
 		return s.get(s.at(platformPort)+"/v1/workers/"+worker, &row) == nil
 	})
--- a/test/zone_cells_test.go
+++ b/test/zone_cells_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/outcome"
-	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	standin "github.com/waxwingbridge/waxwingbridge/standin/platform"
 	"github.com/waxwingbridge/waxwingbridge/standin/target"
 )
@@ -48,11 +48,11 @@
 		s.t.Fatal(err)
 	}
 	s.waitState("w013", fleet.Leaving)
-	replacement := platform.Worker{
+	replacement := infra.Worker{
 		ID: target.WorkerID(s.workers), Pool: "spare", AvailabilityZone: "az1", Rack: "r09", Cores: 32, MemoryMB: 64 << 10, BootID: 1,
-		Status: platform.WorkerLive, Address: s.at(firstTargetPort),
+		Status: infra.WorkerLive, Address: s.at(firstTargetPort),
 	}
-	if err := s.call("POST", s.at(platformPort)+standin.PathAddWorkers, []platform.Worker{replacement}, nil); err != nil {
+	if err := s.call("POST", s.at(platformPort)+standin.PathAddWorkers, []infra.Worker{replacement}, nil); err != nil {
 		s.t.Fatal(err)
 	}
 	s.waitState(replacement.ID, fleet.Serving)
