--- /dev/null
+++ b/command/entry.go
@@ -0,0 +1,40 @@
+package command
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/phuslu/log"
+	"go.uber.org/fx"
+
+	"github.com/waxwingbridge/waxwingbridge/entry"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/node"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+)
+
+// entryFlags are the flags of waxwing-entry. Its addresses come from the
+// platform's settings file.
+type entryFlags struct {
+	LogLevel string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+}
+
+// Entry runs waxwing-entry and returns its exit status. Logs go to stdout,
+// where the platform collects them.
+func Entry(args []string, stdout, stderr io.Writer) int {
+	const program = "waxwing-entry"
+	var flags entryFlags
+	if status, ok := serverFlags(program, "Runs on each machine of the operators' platform: answers clients and runs the jobs of the pools it owns.", args, &flags, stderr); !ok {
+		return status
+	}
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "%s: %v\n", program, err) // nothing else can report it
+		return exitFailure
+	}
+	id := node.NewIncarnation()
+	logger := events.New(events.NewAsync(stdout), log.ParseLevel(flags.LogLevel), settings.Node, id)
+	return run(program, entry.MaxStopTime, stderr,
+		fx.Provide(func() *entry.Process { return entry.New(settings, logger, id) }),
+		fx.Invoke(func(lifecycle fx.Lifecycle, p *entry.Process) { hook(lifecycle, p) }))
+}
--- a/controller/job_performer.go
+++ b/controller/job_performer.go
@@ -7,11 +7,11 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/metrics"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
-	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
 
--- a/controller/operations_test.go
+++ b/controller/operations_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
-	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/infra"
+	"github.com/waxwingbridge/waxwingbridge/node"
 )
 
 // operating returns a controller whose fleet has an operation on each worker,
--- a/controller/performer.go
+++ b/controller/performer.go
@@ -10,10 +10,10 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
-	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
--- a/controller/state.go
+++ b/controller/state.go
@@ -10,10 +10,10 @@
 
 	"github.com/waxwingbridge/waxwingbridge/budget"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/membership"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
-	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 	"github.com/waxwingbridge/waxwingbridge/table"
--- a/controller/takeover_sim_test.go
+++ b/controller/takeover_sim_test.go
@@ -8,10 +8,10 @@
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/membership"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
-	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
 
--- a/controller/takeover_test.go
+++ b/controller/takeover_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/invariant"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/outcome"
-	"github.com/waxwingbridge/waxwingbridge/infra"
 )
 
 const (
--- a/controller/takeover_world_test.go
+++ b/controller/takeover_world_test.go
@@ -6,10 +6,10 @@
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/invariant"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
-	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
--- /dev/null
+++ b/dispatch/jobs.go
@@ -0,0 +1,482 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/table"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// followJob brings the tables up to date with a row of the ledger.
+func (s *State) followJob(tick engine.Tick, row table.ID) {
+	l := s.Ledger.Jobs.Get(row)
+	if l == nil || l.Spec == nil {
+		return
+	}
+	poolID, owned := s.poolByName.Get(l.Spec.Pool)
+	if !owned || !s.Pools.Get(poolID).Loaded {
+		return
+	}
+	id, known := s.jobByID.Get(l.ID)
+	if !known {
+		if l.Progress != nil && l.Progress.State.Final() {
+			return
+		}
+		id = s.insertJob(tick, row, poolID)
+	}
+	j := s.Jobs.Get(id)
+	j.revision = max(j.revision, l.ProgressRevision)
+	if l.Cancelled && j.Final == 0 {
+		s.finishJob(id, work.JobCancelled, "")
+	}
+}
+
+func (s *State) insertJob(tick engine.Tick, row, poolID table.ID) table.ID {
+	l := s.Ledger.Jobs.Get(row)
+	spec := l.Spec
+	id := s.Jobs.Insert(Job{
+		Row: row, Spec: spec, Pool: poolID, Created: l.Created, Begun: l.Progress != nil, revision: l.ProgressRevision,
+	})
+	s.jobByID.Put(l.ID, id)
+	var stages []table.ID
+	for occurrence := range spec.Schedule.Occurrences() {
+		for step := range spec.Steps {
+			stages = append(stages, s.insertStage(id, spec, occurrence, step))
+		}
+	}
+	j := s.Jobs.Get(id)
+	j.stages, j.unfinished = stages, len(stages)
+	s.setObjective(tick, j)
+	if l.Progress != nil {
+		for i := range l.Progress.Stages {
+			s.restoreStage(j, &l.Progress.Stages[i])
+		}
+	}
+	for _, stageID := range stages {
+		s.linkStage(j, stageID)
+	}
+	for _, stageID := range stages {
+		s.openStage(tick, stageID)
+	}
+	s.completeJob(id)
+	return id
+}
+
+func (s *State) insertStage(job table.ID, spec *work.Job, occurrence, step int) table.ID {
+	stage := Stage{Job: job, Occurrence: occurrence, Step: step, Due: spec.Schedule.DueAt(occurrence), perWorker: map[table.ID]int{}}
+	id := s.Stages.Insert(stage)
+	tasks := make([]table.ID, spec.Steps[step].Count)
+	for index := range tasks {
+		tasks[index] = s.Tasks.Insert(Task{Stage: id, Index: index})
+	}
+	s.Stages.Get(id).Tasks = tasks
+	return id
+}
+
+func (s *State) restoreStage(j *Job, saved *work.StageProgress) {
+	at := saved.Occurrence*len(j.Spec.Steps) + saved.Step
+	if at < 0 || at >= len(j.stages) {
+		return
+	}
+	stage := s.Stages.Get(j.stages[at])
+	for index, taskID := range stage.Tasks {
+		if saved.IsDone(index) {
+			s.Tasks.Get(taskID).State = TaskDone
+			stage.Done++
+		}
+	}
+	for _, failed := range saved.Failed {
+		if failed.Index < len(stage.Tasks) {
+			t := s.Tasks.Get(stage.Tasks[failed.Index])
+			t.Failures, t.FailedRun, t.LastRun = failed.Count, failed.LastRun, failed.LastRun
+			stage.gangRun = max(stage.gangRun, failed.LastRun)
+		}
+	}
+}
+
+// linkStage counts the unfinished stages before it.
+func (s *State) linkStage(j *Job, id table.ID) {
+	stage := s.Stages.Get(id)
+	if s.stageDone(stage) {
+		j.unfinished--
+	}
+	for _, before := range j.Spec.Steps[stage.Step].After {
+		beforeID := j.stages[stage.Occurrence*len(j.Spec.Steps)+before]
+		earlier := s.Stages.Get(beforeID)
+		if !s.stageDone(earlier) {
+			stage.Open++
+			earlier.after = append(earlier.after, id)
+		}
+	}
+}
+
+func (s *State) stageDone(stage *Stage) bool { return stage.Done == len(stage.Tasks) }
+
+// openStage makes the tasks of a stage ready once nothing before it is open
+// and its time has come.
+func (s *State) openStage(tick engine.Tick, id table.ID) {
+	stage := s.Stages.Get(id)
+	if stage.Open > 0 || s.stageDone(stage) {
+		return
+	}
+	if !stage.Due.IsZero() && s.TimeOfDay().Before(stage.Due) {
+		s.due.Put(id, stage.Due)
+		return
+	}
+	for _, taskID := range stage.Tasks {
+		if t := s.Tasks.Get(taskID); t.State == TaskBlocked {
+			s.makeReady(tick.Now, taskID)
+		}
+	}
+}
+
+func openDue(s *State, tick engine.Tick) {
+	if s.due.Len() == 0 {
+		return
+	}
+	now := s.TimeOfDay()
+	for {
+		id, at, ok := s.due.Min()
+		if !ok || now.Before(at) {
+			return
+		}
+		s.due.Remove(id)
+		if s.Stages.Get(id) != nil {
+			s.openStage(tick, id)
+		}
+	}
+}
+
+func (s *State) makeReady(now time.Time, taskID table.ID) {
+	t := s.Tasks.Get(taskID)
+	if t.State == TaskReady || t.State == TaskDone {
+		return
+	}
+	stage := s.Stages.Get(t.Stage)
+	j := s.Jobs.Get(stage.Job)
+	if j.Final != 0 {
+		t.State = TaskDropped
+		return
+	}
+	t.State, t.ReadySince = TaskReady, now
+	stage.Ready++
+	p := s.Pools.Get(j.Pool)
+	p.place = true
+	if !stage.queued {
+		stage.queued = true
+		p.ready, p.unordered = append(p.ready, t.Stage), true
+	}
+}
+
+// finishTask records a done task and what follows from it.
+func (s *State) finishTask(tick engine.Tick, taskID table.ID) {
+	t := s.Tasks.Get(taskID)
+	if t.State == TaskDone {
+		return
+	}
+	stageID := t.Stage
+	stage := s.Stages.Get(stageID)
+	if t.State == TaskReady {
+		stage.Ready--
+	}
+	t.State = TaskDone
+	stage.Done++
+	if !s.stageDone(stage) {
+		return
+	}
+	jobID := stage.Job
+	s.Jobs.Get(jobID).unfinished--
+	for _, next := range stage.after {
+		s.Stages.Get(next).Open--
+		s.openStage(tick, next)
+	}
+	s.completeJob(jobID)
+}
+
+func (s *State) completeJob(id table.ID) {
+	if j := s.Jobs.Get(id); j.unfinished == 0 && j.Final == 0 {
+		s.finishJob(id, work.JobCompleted, "")
+	}
+}
+
+// failTask counts a failure of a task, or of its gang, and ends the job at the
+// limit of its queue.
+func (s *State) failTask(taskID table.ID, run int) {
+	t := s.Tasks.Get(taskID)
+	if run <= t.FailedRun || t.State == TaskDone {
+		return
+	}
+	stage := s.Stages.Get(t.Stage)
+	j := s.Jobs.Get(stage.Job)
+	step := &j.Spec.Steps[stage.Step]
+	if step.Lasting {
+		return
+	}
+	if step.Gang {
+		if run <= stage.gangRun {
+			return
+		}
+		stage.gangRun = run
+		for _, member := range stage.Tasks {
+			m := s.Tasks.Get(member)
+			m.Failures, m.FailedRun = m.Failures+1, run
+		}
+	} else {
+		t.Failures, t.FailedRun = t.Failures+1, run
+	}
+	if t.Failures >= max(1, j.Spec.Limits.MaxFailures) && j.Final == 0 {
+		name := work.TaskName{Job: j.Spec.ID, Occurrence: stage.Occurrence, Step: stage.Step, Index: t.Index}
+		s.finishJob(stage.Job, work.JobFailed, name.String())
+	}
+}
+
+// finishJob gives a job its final state and stops what still runs.
+func (s *State) finishJob(id table.ID, state work.JobState, reason string) {
+	j := s.Jobs.Get(id)
+	j.Final, j.Reason, j.dirty, j.urgent = state, reason, true, true
+	s.log(events.WorkFinished, events.F("job", j.Spec.ID), events.F("queue", j.Spec.Queue), events.F("state", state.String()),
+		events.F("failed_task", reason), events.F("revision", j.revision))
+	s.count("jobs_" + state.String())
+	for _, stageID := range j.stages {
+		stage := s.Stages.Get(stageID)
+		stage.Ready = 0
+		for _, taskID := range stage.Tasks {
+			t := s.Tasks.Get(taskID)
+			if t.State == TaskDone {
+				continue
+			}
+			t.State = TaskDropped
+			if run := s.Runs.Get(t.Run); run != nil {
+				run.stopAsked = true
+			}
+		}
+	}
+	s.ended = append(s.ended, id)
+}
+
+// retireJobs removes the rows of jobs whose final state is saved and of which
+// nothing runs.
+func retireJobs(s *State, _ engine.Tick) {
+	kept := s.ended[:0]
+	for _, id := range s.ended {
+		j := s.Jobs.Get(id)
+		if j == nil {
+			continue
+		}
+		if !j.saved || s.hasRuns(j) {
+			kept = append(kept, id)
+			continue
+		}
+		s.removeJob(id)
+	}
+	s.ended = kept
+}
+
+func (s *State) hasRuns(j *Job) bool {
+	for _, stageID := range j.stages {
+		for _, taskID := range s.Stages.Get(stageID).Tasks {
+			if s.Tasks.Get(taskID).Run != 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *State) removeJob(id table.ID) {
+	j := s.Jobs.Get(id)
+	for _, stageID := range j.stages {
+		for _, taskID := range s.Stages.Get(stageID).Tasks {
+			s.Tasks.Delete(taskID)
+		}
+		s.due.Remove(stageID)
+		s.Stages.Delete(stageID)
+	}
+	s.jobByID.Delete(j.Spec.ID)
+	s.Jobs.Delete(id)
+}
+
+// task returns the row of a task, or 0 if its job is not in the tables.
+func (s *State) task(name work.TaskName) table.ID {
+	id, ok := s.jobByID.Get(name.Job)
+	if !ok {
+		return 0
+	}
+	j := s.Jobs.Get(id)
+	at := name.Occurrence*len(j.Spec.Steps) + name.Step
+	if name.Step >= len(j.Spec.Steps) || at >= len(j.stages) {
+		return 0
+	}
+	tasks := s.Stages.Get(j.stages[at]).Tasks
+	if name.Index >= len(tasks) {
+		return 0
+	}
+	return tasks[name.Index]
+}
+
+func (s *State) step(t *Task) (*Stage, *Job, *work.Step) {
+	stage := s.Stages.Get(t.Stage)
+	j := s.Jobs.Get(stage.Job)
+	return stage, j, &j.Spec.Steps[stage.Step]
+}
+
+// Saving.
+const (
+	// saveInterval bounds the writes of an owner. Ends of running jobs are
+	// acknowledged a little later for it.
+	saveInterval = 60 * time.Millisecond
+	// beginInterval is the delay until a job that only began is saved; the
+	// shown state and the number of waiting jobs may be two seconds old.
+	beginInterval = 700 * time.Millisecond
+	// maxSavesInFlight lets one slow write not hold up the next.
+	maxSavesInFlight = 2
+	// maxSavedJobs keeps a write, with two entries a job and one for the
+	// owner, within the 32 entries of a store transaction.
+	maxSavedJobs = 15
+)
+
+// saveProgress writes the progress of changed jobs, final states first.
+func saveProgress(s *State, tick engine.Tick) {
+	for id, p := range s.Pools.All() {
+		for s.ordering(p, tick.Now) && p.saves < maxSavesInFlight && !tick.Now.Before(p.saveRetry) {
+			jobs := s.jobsToSave(tick, id)
+			if len(jobs) == 0 {
+				break
+			}
+			s.saveJobs(id, jobs)
+			p.saveRetry = tick.Now.Add(saveInterval / maxSavesInFlight)
+		}
+	}
+}
+
+func (s *State) jobsToSave(tick engine.Tick, pool table.ID) []table.ID {
+	var final, others []table.ID
+	for id, j := range s.Jobs.All() {
+		if j.Pool != pool || !j.dirty || j.saving != 0 {
+			continue
+		}
+		switch {
+		case j.urgent:
+			final = append(final, id)
+		case !tick.Now.Before(j.saveAfter):
+			others = append(others, id)
+		}
+	}
+	jobs := append(final, others...)
+	return jobs[:min(len(jobs), maxSavedJobs)]
+}
+
+func (s *State) saveJobs(poolID table.ID, jobs []table.ID) {
+	p := s.Pools.Get(poolID)
+	write := ledger.Write{
+		ID: s.NextWrite(), NotAfter: p.Until,
+		Expect: []ledger.Condition{{Key: ledger.Key{Kind: ledger.KindOwner, Name: p.Name}, Revision: p.Token}},
+	}
+	for _, id := range jobs {
+		j := s.Jobs.Get(id)
+		key := ledger.Key{Kind: ledger.KindProgress, Name: j.Spec.ID}
+		write.Expect = append(write.Expect, ledger.Condition{Key: key, Revision: j.revision})
+		j.dirty, j.saving, j.savingState = false, write.ID, s.progress(j)
+		write.Put = append(write.Put, ledger.Put{Key: key, Content: j.savingState})
+		j.savingEnds, j.ends = append(j.savingEnds, j.ends...), nil
+	}
+	p.saves++
+	s.writes[write.ID] = writeTarget{pool: poolID, jobs: jobs}
+	s.Out.Writes.Add(write)
+}
+
+func (s *State) progress(j *Job) *work.Progress {
+	if j.Final != 0 {
+		return &work.Progress{State: j.Final}
+	}
+	p := &work.Progress{State: work.JobRunning}
+	for _, stageID := range j.stages {
+		stage := s.Stages.Get(stageID)
+		saved := work.StageProgress{Occurrence: stage.Occurrence, Step: stage.Step}
+		for index, taskID := range stage.Tasks {
+			t := s.Tasks.Get(taskID)
+			if t.State == TaskDone {
+				saved.SetDone(index)
+			}
+			if t.Failures > 0 && t.State != TaskDone {
+				saved.Failed = append(saved.Failed, work.TaskFailures{Index: index, Count: t.Failures, LastRun: t.FailedRun})
+			}
+		}
+		if len(saved.Done)+len(saved.Failed) > 0 {
+			p.Stages = append(p.Stages, saved)
+		}
+	}
+	return p
+}
+
+// WriteDone records the result of a write and reports whether it was one of
+// this package.
+func (s *State) WriteDone(tick engine.Tick, result ledger.WriteResult) bool {
+	target, ok := s.writes[result.ID]
+	if !ok {
+		return false
+	}
+	delete(s.writes, result.ID)
+	p := s.Pools.Get(target.pool)
+	if p == nil {
+		return true
+	}
+	if target.jobs == nil {
+		s.contactsSaved(tick.Now, p, target, result)
+		return true
+	}
+	p.saves--
+	if result.Outcome != ledger.Applied {
+		p.saveRetry = tick.Now.Add(retryWrite)
+		s.log(events.ProgressNotSaved, events.F("pool", p.Name), events.F("outcome", result.Outcome.String()),
+			events.F("jobs", len(target.jobs)), events.Err(result.Err))
+	}
+	current := map[string]int64{}
+	for _, seen := range result.Current {
+		if seen.Key.Kind == ledger.KindProgress {
+			current[seen.Key.Name] = seen.Revision
+			if seen.Deleted {
+				current[seen.Key.Name] = 0
+			}
+		}
+		if seen.Key.Kind == ledger.KindOwner && seen.Revision != p.Token {
+			p.Until = time.Time{} // another process owns the pool; the watch will tell
+		}
+	}
+	for _, id := range target.jobs {
+		if j := s.Jobs.Get(id); j != nil && j.saving == result.ID {
+			s.jobSaved(tick.Now, j, result, current)
+		}
+	}
+	return true
+}
+
+func (s *State) jobSaved(now time.Time, j *Job, result ledger.WriteResult, current map[string]int64) {
+	j.saving = 0
+	if result.Outcome != ledger.Applied {
+		if revision, ok := current[j.Spec.ID]; ok {
+			j.revision = revision
+		}
+		j.dirty = true
+		return
+	}
+	j.revision = result.Revision
+	if j.savingState.State.Final() {
+		j.saved, j.urgent = true, false
+	}
+	s.Ledger.Apply(now, ledger.Seen{
+		Key: ledger.Key{Kind: ledger.KindProgress, Name: j.Spec.ID}, Revision: result.Revision, Content: j.savingState,
+	})
+	for _, end := range j.savingEnds {
+		if w := s.Workers.Get(end.worker); w != nil && w.Born == end.born {
+			delete(w.acking, end.number)
+			if len(w.acking) == 0 {
+				w.nextLook = now
+			}
+		}
+	}
+	j.savingEnds = nil
+}
--- /dev/null
+++ b/dispatch/pools.go
@@ -0,0 +1,225 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/table"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+const (
+	// clockDrift is how much slower than this machine's clock a worker's
+	// steady clock may run.
+	clockDrift = 0.02
+	// lapseSlack covers coarse timers on both sides.
+	lapseSlack = 100 * time.Millisecond
+	// settleSlack covers the time between a replaced owner's last order and
+	// its arrival.
+	settleSlack = 500 * time.Millisecond
+)
+
+// Own tells that this process owns the pool with the token, and may order
+// until the given moment.
+func (s *State) Own(now time.Time, name string, token int64, epoch int, until time.Time) {
+	id, known := s.poolByName.Get(name)
+	if known && s.Pools.Get(id).Token != token {
+		s.Disown(name)
+		known = false
+	}
+	if !known {
+		id = s.Pools.Insert(Pool{Name: name, Token: token, Epoch: epoch, Since: now})
+		s.poolByName.Put(name, id)
+		s.log(events.PoolOwned, events.F("pool", name), events.F("token", token), events.F("epoch", epoch))
+	}
+	p := s.Pools.Get(id)
+	if until.After(p.Until) && !now.Before(p.Until) {
+		p.place = true // orders were suspended
+	}
+	p.Until = until
+}
+
+// Disown removes everything about a pool that another process owns or will own.
+func (s *State) Disown(name string) {
+	id, ok := s.poolByName.Get(name)
+	if !ok {
+		return
+	}
+	s.log(events.PoolLost, events.F("pool", name), events.F("token", s.Pools.Get(id).Token))
+	for jobID, j := range s.Jobs.All() {
+		if j.Pool == id {
+			s.removeJob(jobID)
+		}
+	}
+	for workerID, w := range s.Workers.All() {
+		if w.pool != id {
+			continue
+		}
+		for _, run := range w.runs {
+			s.Runs.Delete(run)
+		}
+		*w = Worker{Worker: w.Worker, Listed: w.Listed, GoneAt: w.GoneAt, revision: w.revision, maintenance: w.maintenance}
+		if !w.Listed {
+			s.workerByID.Delete(w.ID)
+			s.Workers.Delete(workerID)
+		}
+	}
+	s.poolByName.Delete(name)
+	s.Pools.Delete(id)
+}
+
+// Owned iterates over the names of the pools in the tables.
+func (s *State) Owned(yield func(name string, token int64) bool) {
+	for _, p := range s.Pools.All() {
+		if !yield(p.Name, p.Token) {
+			return
+		}
+	}
+}
+
+// ordering reports whether orders for the pool may leave now.
+func (s *State) ordering(p *Pool, now time.Time) bool { return p != nil && p.Loaded && now.Before(p.Until) }
+
+// ContactsSeen records the saved contacts of a pool.
+func (s *State) ContactsSeen(seen ledger.Seen) {
+	if seen.Revision <= s.contactsSeen[seen.Key.Name].Revision {
+		return
+	}
+	s.contactsSeen[seen.Key.Name] = seen
+	if id, ok := s.poolByName.Get(seen.Key.Name); ok {
+		s.Pools.Get(id).contactsRevision = seen.Revision
+	}
+}
+
+// loadJobs fills the tables of a pool once the ledger has caught up with the
+// start of the ownership, and follows changes afterwards.
+func loadJobs(s *State, tick engine.Tick) {
+	changed := s.Ledger.TakeChanged()
+	for id, p := range s.Pools.All() {
+		if p.Loaded || !s.Ledger.Synced || s.Ledger.Revision < p.Token {
+			continue
+		}
+		p.Loaded = true
+		for row := range s.Ledger.Jobs.All() {
+			s.followJob(tick, row)
+		}
+		s.loadContacts(id)
+		s.log(events.PoolLoaded, events.F("pool", s.Pools.Get(id).Name), events.F("jobs", s.Jobs.Len()),
+			events.F("contacts", len(s.Pools.Get(id).Contacts)), events.F("store_revision", s.Ledger.Revision))
+	}
+	for _, row := range changed {
+		s.followJob(tick, row)
+	}
+}
+
+// loadContacts makes rows for the workers on which an earlier owner may have
+// started runs.
+func (s *State) loadContacts(id table.ID) {
+	p := s.Pools.Get(id)
+	seen := s.contactsSeen[p.Name]
+	p.contactsRevision = seen.Revision
+	p.Contacts, _ = seen.Content.([]work.Contact)
+	for _, contact := range p.Contacts {
+		if workerID, ok := s.workerByID.Get(contact.Worker); ok {
+			s.Workers.Get(workerID).pool = id
+			continue
+		}
+		s.insertWorker(Worker{Worker: work.Worker{ID: contact.Worker, Address: contact.Address, Born: contact.Born, Pool: p.Name}, pool: id})
+	}
+	for _, w := range s.Workers.All() {
+		if w.Pool == p.Name && w.Listed {
+			w.pool = id
+		}
+	}
+}
+
+func (s *State) insertWorker(w Worker) table.ID {
+	w.acking = map[int64]struct{}{}
+	id := s.Workers.Insert(w)
+	s.workerByID.Put(w.ID, id)
+	return id
+}
+
+// settlePools ends the time in which tasks of older jobs must wait: when every
+// worker that an earlier owner ordered has answered under the new token, or
+// when whatever it started has lapsed.
+func settlePools(s *State, tick engine.Tick) {
+	for _, p := range s.Pools.All() {
+		if p.Settled || !p.Loaded {
+			continue
+		}
+		longest := s.Config.OwnerLease + time.Duration(float64(s.Config.MaxLease)/(1-clockDrift)) + settleSlack
+		waiting := ""
+		for _, contact := range p.Contacts {
+			if id, ok := s.workerByID.Get(contact.Worker); ok {
+				if w := s.Workers.Get(id); !w.fenced && w.Born == contact.Born {
+					waiting = w.ID
+				}
+			}
+		}
+		if waiting != "" && tick.Now.Before(p.Since.Add(longest)) {
+			continue
+		}
+		p.Settled, p.place = true, true
+		s.log(events.PoolSettled, events.F("pool", p.Name), events.F("unanswered", waiting),
+			events.F("after_ms", tick.Now.Sub(p.Since).Milliseconds()))
+	}
+}
+
+// saveContacts writes the workers that may hold runs before the first start on
+// a new one, so that the next owner knows whom to ask.
+func saveContacts(s *State, tick engine.Tick) {
+	for id, p := range s.Pools.All() {
+		if !s.ordering(p, tick.Now) || p.contactsWrite != 0 || tick.Now.Before(p.contactsRetry) {
+			continue
+		}
+		var contacts []work.Contact
+		missing := false
+		for _, w := range s.Workers.All() {
+			if w.pool != id || (!w.Listed && w.fenced && len(w.runs) == 0) {
+				continue
+			}
+			missing = missing || (!w.saved && w.Listed && w.fenced)
+			contacts = append(contacts, work.Contact{Worker: w.ID, Address: w.Address, Born: w.Born})
+		}
+		if !missing {
+			continue
+		}
+		p.contactsWrite = s.NextWrite()
+		s.writes[p.contactsWrite] = writeTarget{pool: id, contacts: contacts}
+		s.Out.Writes.Add(ledger.Write{
+			ID: p.contactsWrite, NotAfter: p.Until,
+			Expect: []ledger.Condition{
+				{Key: ledger.Key{Kind: ledger.KindOwner, Name: p.Name}, Revision: p.Token},
+				{Key: ledger.Key{Kind: ledger.KindContacts, Name: p.Name}, Revision: p.contactsRevision},
+			},
+			Put: []ledger.Put{{Key: ledger.Key{Kind: ledger.KindContacts, Name: p.Name}, Content: contacts}},
+		})
+	}
+}
+
+// retryWrite is the pause after a write that the store refused or left open.
+const retryWrite = 120 * time.Millisecond
+
+func (s *State) contactsSaved(now time.Time, p *Pool, target writeTarget, result ledger.WriteResult) {
+	p.contactsWrite = 0
+	if result.Outcome != ledger.Applied {
+		p.contactsRetry = now.Add(retryWrite)
+		for _, seen := range result.Current {
+			if seen.Key.Kind == ledger.KindContacts {
+				p.contactsRevision = seen.Revision
+			}
+		}
+		return
+	}
+	p.contactsRevision, p.place = result.Revision, true
+	for _, contact := range target.contacts {
+		if id, ok := s.workerByID.Get(contact.Worker); ok {
+			if w := s.Workers.Get(id); w.Born == contact.Born {
+				w.saved = true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/tables.go
@@ -0,0 +1,330 @@
+// Package dispatch runs the jobs of the pools that this process owns: it turns
+// accepted jobs into tasks, places tasks on workers, follows their runs, and
+// saves progress before a worker may forget an end.
+//
+// State holds the tables, Systems lists what runs over them in each tick, and
+// orders, writes and log records leave as outbound rows. The package does no
+// I/O and knows no encoding.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/table"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// Pool is a pool that this process owns or owned.
+type Pool struct {
+	Name  string
+	Token int64 // fencing token of all orders
+	Epoch int
+	Since time.Time // start of the ownership
+	// Until is the last moment at which an order may leave.
+	Until time.Time
+	// Loaded is set once every job that was accepted before the ownership is
+	// in the tables.
+	Loaded bool
+	// Settled is set once no unknown run of an earlier owner can exist.
+	Settled bool
+	// Contacts are the workers that may hold runs of an earlier owner.
+	Contacts         []work.Contact
+	contactsRevision int64
+	contactsWrite    uint64
+	contactsRetry    time.Time
+	saves            int // progress writes in flight
+	saveRetry        time.Time
+	ready            []table.ID // stages with ready tasks, in the order of placement
+	unordered        bool       // ready needs sorting
+	sortedAt         time.Time
+	place            bool       // something changed since the last placement
+}
+
+// Job is an accepted job of an owned pool.
+type Job struct {
+	Row       table.ID // in the ledger
+	Spec      *work.Job
+	Pool      table.ID
+	Created   int64 // store revision of the acceptance
+	Begun     bool
+	Final     work.JobState // 0 while unfinished
+	Reason    string        // why it failed
+	Objective time.Time     // finishing later earns little
+	Value     float64       // relative order among jobs of equal urgency
+
+	stages      []table.ID // by occurrence and step
+	occurrences int        // instantiated so far
+	unfinished  int        // stages that are not done
+	revision    int64      // of the saved progress
+	dirty       bool
+	urgent      bool // a final state waits to be saved
+	saving      uint64
+	saved       bool      // the final state is durable
+	ends        []pendingEnd
+	savingEnds  []pendingEnd
+	savingState *work.Progress
+	saveAfter   time.Time
+}
+
+// pendingEnd is an end that may be acknowledged once the job is saved.
+type pendingEnd struct {
+	worker table.ID
+	born   int64
+	number int64
+}
+
+// Stage is one step of one occurrence of a job.
+type Stage struct {
+	Job        table.ID
+	Occurrence int
+	Step       int
+	Due        time.Time
+	Open       int // stages before it that are not done
+	Done       int // tasks
+	Tasks      []table.ID
+	Ready      int // tasks that wait for placement
+	queued     bool
+	perWorker  map[table.ID]int
+	gangRun    int // run that was last counted as failed
+	tickets    map[string]ticket
+	askedAt    time.Time
+	asking     bool
+	after      []table.ID // stages that wait for this one
+}
+
+type ticket struct {
+	value string
+	born  int64
+	until time.Time
+}
+
+// TaskState is the state of a task.
+type TaskState uint8
+
+// The states of a task.
+const (
+	TaskBlocked TaskState = iota // its step waits for others or for its time
+	TaskReady
+	TaskActive // a run may exist
+	TaskDone
+	TaskDropped // the job ended without it
+)
+
+// Task is a task of a stage.
+type Task struct {
+	Stage      table.ID
+	Index      int
+	State      TaskState
+	Run        table.ID // the run that may exist
+	LastRun    int
+	Failures   int
+	FailedRun  int // highest run whose failure is counted
+	Checkpoint string
+	Avoid      table.ID // worker of the last failure
+	NotBefore  time.Time
+	ReadySince time.Time
+}
+
+// RunState is the state of a run.
+type RunState uint8
+
+// The states of a run.
+const (
+	RunOrdered   RunState = iota + 1 // the start was sent, no answer yet
+	RunUncertain                     // the start got no answer
+	RunConfirmed                     // the worker has it
+	RunStopping                      // a stop was ordered
+)
+
+// Run is one start of a task that may exist on a worker.
+type Run struct {
+	Task      table.ID // 0 for a run that belongs to no task
+	Name      work.TaskName
+	Number    int
+	Worker    table.ID
+	State     RunState
+	OrderedAt time.Time
+	Size      placement.Resources
+
+	clock       time.Duration // of the worker when it confirmed or refused the run
+	percent     int
+	progressAt  time.Time // last change of percent
+	load        int
+	pace        int // percent of full speed that is in force
+	paceAsked   bool
+	paceAt      time.Time
+	stopAsked   bool
+	stopAt      time.Time     // of the last stop order
+	stopClock   time.Duration // of the worker when it answered a stop; 0 before
+	stopAnswers bool
+}
+
+// Worker is a worker of the registry, or one that left it while it may hold
+// runs.
+type Worker struct {
+	work.Worker
+	Listed bool // in the registry
+	GoneAt time.Time
+
+	pool     table.ID // owned pool that it serves or served; 0 for none
+	revision int64
+	fenced   bool // answered with the present token
+	acking   map[int64]struct{}
+	read     int64 // highest end that was applied
+	used     placement.Resources
+	runs     []table.ID
+	saved    bool // among the saved contacts
+
+	clock      time.Duration // last reading of its clock
+	clockAt    time.Time     // when that reading arrived
+	leaseUntil time.Duration // on its clock; the longest lease that was sent
+
+	looking    bool
+	nextLook   time.Time
+	lookedAt   time.Time // last list
+	failedLook int       // looks without answer since the last list
+
+	noRoomUntil  time.Time
+	unfitUntil   time.Time
+	suspicion    float64
+	suspicionAt  time.Time
+	failedJobs   map[string]struct{}
+	maintenance  bool // a machine order takes it out
+	evicting     time.Time
+	lastEviction time.Time
+}
+
+// Effects are the outbound rows of a tick.
+type Effects struct {
+	Starts   table.Outbound[StartOrder]
+	Stops    table.Outbound[StopOrder]
+	Paces    table.Outbound[PaceOrder]
+	Looks    table.Outbound[LookOrder]
+	Writes   table.Outbound[ledger.Write]
+	Advice   table.Outbound[AdviceQuestion]
+	Logs     table.Outbound[events.Record]
+	Counters table.Outbound[Count]
+}
+
+// Count adds to a counter of the metrics.
+type Count struct {
+	Name  string
+	Delta int64
+}
+
+// Target addresses a worker. NotAfter is the last moment at which an order may
+// be sent to it.
+type Target struct {
+	Worker   table.ID
+	ID       string
+	Address  string
+	Born     int64
+	Token    int64
+	NotAfter time.Time
+}
+
+// StartOrder starts a run.
+type StartOrder struct {
+	Target     Target
+	Run        table.ID
+	Task       work.TaskName
+	Number     int
+	Payload    string
+	LeaseUntil time.Duration
+	Checkpoint string
+	Ticket     string
+}
+
+// StopOrder ends a run.
+type StopOrder struct {
+	Target Target
+	Run    table.ID
+	Task   work.TaskName
+	Number int
+}
+
+// PaceOrder sets the speed of a run, in percent.
+type PaceOrder struct {
+	Target  Target
+	Run     table.ID
+	Task    work.TaskName
+	Number  int
+	Percent int
+}
+
+// LookOrder reads a worker's lists, renews leases and acknowledges ends.
+type LookOrder struct {
+	Target       Target
+	LeaseUntil   time.Duration
+	Acknowledged int64
+	Wait         time.Duration
+}
+
+// AdviceQuestion asks which workers may run a stage.
+type AdviceQuestion struct {
+	Stage    table.ID
+	Name     string
+	Workers  []string
+	Expected time.Duration
+}
+
+// Config holds the bounds that decisions depend on.
+type Config struct {
+	MaxLease     time.Duration // longest lease that a worker grants
+	StopTime     time.Duration // longest time that a stop takes
+	OwnerLease   time.Duration // longest time that a replaced owner may still order
+	Notice       time.Duration // a lasting task away so long counts as unavailable
+	RemoteFactor float64
+}
+
+// State holds the tables of the pools that this process owns.
+type State struct {
+	Config Config
+	Ledger *ledger.Ledger
+
+	Pools   table.Table[Pool]
+	Jobs    table.Table[Job]
+	Stages  table.Table[Stage]
+	Tasks   table.Table[Task]
+	Runs    table.Table[Run]
+	Workers table.Table[Worker]
+
+	Out       Effects
+	NextWrite func() uint64
+	// Clock returns the time of day, which scheduled jobs follow.
+	TimeOfDay func() time.Time
+	Stopping  bool
+
+	poolByName   table.Index[string]
+	jobByID      table.Index[string]
+	workerByID   table.Index[string]
+	contactsSeen map[string]ledger.Seen
+	writes       map[uint64]writeTarget
+	due          table.Heap[time.Time] // stages that wait for their time
+	ended        []table.ID // jobs whose rows may be removed
+	images       map[string]*imageStats
+}
+
+// writeTarget tells what a write in flight is for.
+type writeTarget struct {
+	pool     table.ID
+	jobs     []table.ID
+	contacts []work.Contact
+}
+
+// New returns an empty state.
+func New(config Config, jobs *ledger.Ledger, nextWrite func() uint64, timeOfDay func() time.Time) *State {
+	return &State{
+		Config: config, Ledger: jobs, NextWrite: nextWrite, TimeOfDay: timeOfDay,
+		contactsSeen: map[string]ledger.Seen{}, writes: map[uint64]writeTarget{}, images: map[string]*imageStats{},
+	}
+}
+
+func (s *State) log(event events.Event, fields ...events.Field) {
+	s.Out.Logs.Add(events.Record{Event: event, Fields: fields})
+}
+
+func (s *State) count(name string) { s.Out.Counters.Add(Count{Name: name, Delta: 1}) }
--- /dev/null
+++ b/dispatch/workers.go
@@ -0,0 +1,433 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/table"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// WorkerSeen records a worker's entry in the registry.
+func (s *State) WorkerSeen(now time.Time, entry *work.Worker, revision int64) {
+	id, known := s.workerByID.Get(entry.ID)
+	if !known {
+		id = s.insertWorker(Worker{Worker: *entry, revision: revision})
+	}
+	w := s.Workers.Get(id)
+	if known {
+		if revision <= w.revision {
+			return
+		}
+		if w.Born != 0 && entry.Born != 0 && entry.Born < w.Born {
+			return // an entry of an earlier life
+		}
+		if w.Born != entry.Born {
+			s.endLife(now, id, entry.Born)
+		}
+		if w.Draining != entry.Draining {
+			s.log(events.WorkerDraining, events.F("worker", entry.ID), events.F("draining", entry.Draining),
+				events.F("revision", revision), events.F("remaining_ms", entry.Remaining.Milliseconds()))
+		}
+		w.Worker, w.revision = *entry, revision
+	}
+	if !w.Listed {
+		w.Listed, w.nextLook = true, now
+	}
+	if poolID, owned := s.poolByName.Get(w.Pool); owned {
+		w.pool = poolID
+		s.Pools.Get(poolID).place = true
+	}
+}
+
+// WorkerGone records that a worker's entry was removed. Its runs may go on
+// until their lease lapses.
+func (s *State) WorkerGone(now time.Time, id string, revision int64) {
+	row, ok := s.workerByID.Get(id)
+	if !ok {
+		return
+	}
+	w := s.Workers.Get(row)
+	if revision <= w.revision || !w.Listed {
+		return
+	}
+	w.Listed, w.GoneAt, w.revision = false, now, revision
+	s.log(events.WorkerGone, events.F("worker", id), events.F("pool", w.Pool), events.F("runs", len(w.runs)), events.F("revision", revision))
+	if w.pool == 0 {
+		s.workerByID.Delete(id)
+		s.Workers.Delete(row)
+	}
+}
+
+// SetMaintenance tells whether a machine order takes the worker out of its pool.
+func (s *State) SetMaintenance(worker string, on bool) {
+	if id, ok := s.workerByID.Get(worker); ok {
+		if w := s.Workers.Get(id); w.maintenance != on {
+			w.maintenance = on
+			if p := s.Pools.Get(w.pool); p != nil {
+				p.place = true
+			}
+		}
+	}
+}
+
+// Idle reports whether no run can exist on the worker, and whether this
+// process is in a position to know.
+func (s *State) Idle(worker string, now time.Time) (idle, known bool) {
+	id, ok := s.workerByID.Get(worker)
+	if !ok {
+		return false, false
+	}
+	w := s.Workers.Get(id)
+	p := s.Pools.Get(w.pool)
+	if !s.ordering(p, now) || !w.fenced || !w.maintenance {
+		return false, false
+	}
+	return len(w.runs) == 0, true
+}
+
+// endLife gives up everything that ran in a worker's earlier life.
+func (s *State) endLife(now time.Time, id table.ID, born int64) {
+	w := s.Workers.Get(id)
+	lost := slices.Clone(w.runs)
+	for _, run := range lost {
+		s.loseRun(now, run, "worker-restarted")
+	}
+	w = s.Workers.Get(id)
+	w.Born, w.fenced, w.saved, w.read = born, false, false, 0
+	w.acking = map[int64]struct{}{}
+	w.clock, w.clockAt, w.leaseUntil, w.nextLook = 0, time.Time{}, 0, now
+	w.suspicion, w.failedJobs, w.unfitUntil, w.evicting = 0, nil, time.Time{}, time.Time{}
+	if len(lost) > 0 {
+		s.log(events.WorkerLifeEnded, events.F("worker", w.ID), events.F("runs", len(lost)), events.F("born", born))
+	}
+}
+
+// clockNow estimates the worker's clock. The worker's may be slower, so the
+// estimate is never behind the truth by more than the age of the reading.
+func (w *Worker) clockNow(now time.Time) time.Duration { return w.clock + now.Sub(w.clockAt) }
+
+// lapsesAt returns when everything that was started on the worker has ended,
+// at the latest.
+func (w *Worker) lapsesAt() time.Time {
+	left := max(0, w.leaseUntil-w.clock)
+	return w.clockAt.Add(time.Duration(float64(left)/(1-clockDrift)) + lapseSlack)
+}
+
+// readClock records a reading that arrived now.
+func (w *Worker) readClock(now time.Time, clock time.Duration) {
+	if clock > w.clock || w.clockAt.IsZero() {
+		w.clock, w.clockAt = clock, now
+	}
+}
+
+// expireRuns gives up the runs of workers that have not answered for as long
+// as their lease can last, and forgets workers that left.
+func expireRuns(s *State, tick engine.Tick) {
+	for id, w := range s.Workers.All() {
+		p := s.Pools.Get(w.pool)
+		if !s.ordering(p, tick.Now) {
+			continue
+		}
+		if len(w.runs) > 0 && !w.clockAt.IsZero() && !tick.Now.Before(w.lapsesAt()) {
+			s.log(events.WorkerLapsed, events.F("worker", w.ID), events.F("runs", len(w.runs)),
+				events.F("silent_ms", tick.Now.Sub(w.clockAt).Milliseconds()))
+			for _, run := range slices.Clone(w.runs) {
+				s.loseRun(tick.Now, run, "lease-lapsed")
+			}
+		}
+		if !w.Listed && len(w.runs) == 0 && p.Settled && tick.Now.After(w.GoneAt.Add(s.Config.MaxLease)) {
+			s.workerByID.Delete(w.ID)
+			s.Workers.Delete(id)
+		}
+	}
+}
+
+// Looks.
+const (
+	// lookWait is how long a worker may hold a look open without an end. It
+	// bounds the age of a lease and the time until an acknowledgement.
+	lookWait = time.Second
+	// idleLookWait is the wait where nothing runs; looks are priced.
+	idleLookWait = 2 * time.Second
+	// lookGap gathers ends that come at nearly the same time.
+	lookGap = 25 * time.Millisecond
+	// unsavedGap is the longest pause of looks while ends wait to be saved: a
+	// worker answers at once as long as it lists an end.
+	unsavedGap = 250 * time.Millisecond
+	// retryLook is the pause after a look that failed.
+	retryLook = 250 * time.Millisecond
+	// reachableFor is how long a worker counts as reachable after a list. It
+	// exceeds the longest wait of a look and its timeout.
+	reachableFor = 3200 * time.Millisecond
+)
+
+func (s *State) target(id table.ID, w *Worker, p *Pool) Target {
+	return Target{Worker: id, ID: w.ID, Address: w.Address, Born: w.Born, Token: p.Token, NotAfter: p.Until}
+}
+
+func lookAtWorkers(s *State, tick engine.Tick) {
+	for id, w := range s.Workers.All() {
+		p := s.Pools.Get(w.pool)
+		if w.looking || tick.Now.Before(w.nextLook) || !s.ordering(p, tick.Now) {
+			continue
+		}
+		order := LookOrder{Target: s.target(id, w, p), Acknowledged: w.acknowledged()}
+		if w.fenced && !w.clockAt.IsZero() {
+			order.LeaseUntil = w.clockNow(tick.Now) + s.Config.MaxLease
+			w.leaseUntil = max(w.leaseUntil, order.LeaseUntil)
+			order.Wait = idleLookWait
+			if len(w.runs) > 0 {
+				order.Wait = lookWait
+			}
+			if len(w.acking) > 0 {
+				order.Wait = 0
+			}
+		}
+		w.looking = true
+		s.Out.Looks.Add(order)
+	}
+}
+
+// acknowledged returns the highest end up to which everything is saved.
+func (w *Worker) acknowledged() int64 {
+	acknowledged := w.read
+	for number := range w.acking {
+		acknowledged = min(acknowledged, number-1)
+	}
+	return acknowledged
+}
+
+// LookResult tells how a look ended.
+type LookResult uint8
+
+// The results of a look.
+const (
+	LookListed    LookResult = iota + 1
+	LookFenced               // the worker knows a higher token
+	LookOtherLife            // another life holds the address
+	LookFailed               // no usable answer
+)
+
+// Looked records the answer to a look.
+func (s *State) Looked(tick engine.Tick, to Target, result LookResult, clock time.Duration, born int64, running []work.RunStatus, ended []work.RunEnd) {
+	w := s.Workers.Get(to.Worker)
+	if w == nil || w.ID != to.ID {
+		return
+	}
+	w.looking = false
+	p := s.Pools.Get(w.pool)
+	if p == nil || p.Token != to.Token {
+		return
+	}
+	switch result {
+	case LookListed:
+		if born != 0 && w.Born != 0 && born != w.Born {
+			if born > w.Born {
+				s.endLife(tick.Now, to.Worker, born)
+			}
+			w.nextLook = tick.Now.Add(lookGap)
+			return
+		}
+		s.applyLists(tick, to.Worker, clock, running, ended)
+	case LookOtherLife:
+		s.endLife(tick.Now, to.Worker, w.Born)
+		w.fenced, w.nextLook = true, tick.Now.Add(idleLookWait) // nothing of this life can run
+		w.lookedAt = time.Time{}
+	case LookFenced:
+		w.nextLook = tick.Now.Add(retryLook)
+		s.log(events.OrderFenced, events.F("worker", w.ID), events.F("token", to.Token))
+	case LookFailed:
+		w.failedLook++
+		w.nextLook = tick.Now.Add(retryLook * time.Duration(min(w.failedLook, 6)))
+	}
+}
+
+// maxListedEnds is how many ends a worker lists at once; with a full list, the
+// absence of a run proves nothing.
+const maxListedEnds = 500
+
+func (s *State) applyLists(tick engine.Tick, id table.ID, clock time.Duration, running []work.RunStatus, ended []work.RunEnd) {
+	w := s.Workers.Get(id)
+	p := s.Pools.Get(w.pool)
+	if !w.fenced {
+		w.fenced, p.place = true, true
+	}
+	w.readClock(tick.Now, clock)
+	w.lookedAt, w.failedLook = tick.Now, 0
+	for _, end := range ended {
+		if end.Number > w.read {
+			w.read = end.Number
+			s.applyEnd(tick, id, end)
+		}
+	}
+	listed := make(map[table.ID]bool, len(running))
+	for i := range running {
+		listed[s.applyRunning(tick, id, clock, &running[i])] = true
+	}
+	if len(ended) < maxListedEnds {
+		s.applyAbsence(tick, id, clock, listed)
+	}
+	w = s.Workers.Get(id)
+	w.nextLook = tick.Now.Add(lookGap)
+	if len(w.acking) > 0 {
+		w.nextLook = tick.Now.Add(unsavedGap)
+	}
+}
+
+// applyRunning records one row of a list and returns the run's row.
+func (s *State) applyRunning(tick engine.Tick, worker table.ID, clock time.Duration, status *work.RunStatus) table.ID {
+	w := s.Workers.Get(worker)
+	for _, id := range w.runs {
+		run := s.Runs.Get(id)
+		if run.Number == status.Run && run.Name == status.Task {
+			s.updateRun(tick, id, clock, status)
+			return id
+		}
+	}
+	return s.adoptRun(tick, worker, clock, status)
+}
+
+// adoptRun records a run that this process did not start or no longer expects:
+// one of an earlier owner, or an order that was carried out late. It is kept if
+// its task needs it, and stopped otherwise.
+func (s *State) adoptRun(tick engine.Tick, worker table.ID, clock time.Duration, status *work.RunStatus) table.ID {
+	run := Run{
+		Name: status.Task, Number: status.Run, Worker: worker, State: RunConfirmed, OrderedAt: tick.Now,
+		clock: clock, percent: status.Percent, progressAt: tick.Now, pace: fullPace,
+	}
+	taskID := s.task(status.Task)
+	kept := false
+	if t := s.Tasks.Get(taskID); t != nil {
+		stage, j, step := s.step(t)
+		run.Size = step.Reserved()
+		t.LastRun = max(t.LastRun, status.Run)
+		if kept = t.Run == 0 && t.State != TaskDone && j.Final == 0 && stage.Open == 0; kept {
+			run.Task = taskID
+			if t.State == TaskReady {
+				stage.Ready--
+			}
+			t.State, t.Checkpoint = TaskActive, orKeep(status.Checkpoint, t.Checkpoint)
+			stage.perWorker[worker]++
+		}
+	}
+	run.stopAsked = !kept
+	id := s.Runs.Insert(run)
+	if kept {
+		s.Tasks.Get(taskID).Run = id
+		s.begin(tick.Now, taskID)
+	}
+	w := s.Workers.Get(worker)
+	w.runs = append(w.runs, id)
+	w.used = w.used.Plus(run.Size)
+	s.log(events.RunAdopted, events.F("task", status.Task.String()), events.F("run", status.Run), events.F("worker", w.ID),
+		events.F("kept", kept), events.F("worker_clock_ms", clock.Milliseconds()))
+	return id
+}
+
+func orKeep(value, previous string) string {
+	if value == "" {
+		return previous
+	}
+	return value
+}
+
+// applyAbsence ends runs that a list rules out.
+func (s *State) applyAbsence(tick engine.Tick, worker table.ID, clock time.Duration, listed map[table.ID]bool) {
+	w := s.Workers.Get(worker)
+	for _, id := range slices.Clone(w.runs) {
+		run := s.Runs.Get(id)
+		if run == nil || listed[id] {
+			continue
+		}
+		switch {
+		case run.State == RunConfirmed && clock > run.clock:
+			s.loseRun(tick.Now, id, "not-listed")
+		case run.State == RunStopping && run.stopAnswers && clock > run.stopClock:
+			s.loseRun(tick.Now, id, "stopped-before-start")
+		case run.State == RunUncertain:
+			// The order may still be carried out; a stop rules it out for good.
+			run.stopAsked = true
+		}
+	}
+}
+
+// applyEnd records one end of a list.
+func (s *State) applyEnd(tick engine.Tick, worker table.ID, end work.RunEnd) {
+	w := s.Workers.Get(worker)
+	taskID := s.task(end.Task)
+	s.log(events.RunEnded, events.F("task", end.Task.String()), events.F("run", end.Run), events.F("worker", w.ID),
+		events.F("reason", end.Reason.String()), events.F("end", end.Number), events.F("worker_clock_ms", w.clock.Milliseconds()))
+	s.count("run_ends_" + end.Reason.String())
+	var ended table.ID
+	for _, id := range w.runs {
+		if run := s.Runs.Get(id); run.Number == end.Run && run.Name == end.Task {
+			ended = id
+		}
+	}
+	t := s.Tasks.Get(taskID)
+	if t != nil {
+		t.LastRun = max(t.LastRun, end.Run)
+		t.Checkpoint = orKeep(end.Checkpoint, t.Checkpoint)
+	}
+	if ended != 0 {
+		s.removeRun(ended)
+	}
+	if t == nil {
+		return
+	}
+	s.accountEnd(tick, worker, taskID, end)
+	if t = s.Tasks.Get(taskID); t != nil && t.Run == 0 && t.State == TaskActive {
+		s.makeReady(tick.Now, taskID)
+	}
+}
+
+func (s *State) accountEnd(tick engine.Tick, worker, taskID table.ID, end work.RunEnd) {
+	t := s.Tasks.Get(taskID)
+	stage, j, step := s.step(t)
+	jobID := stage.Job
+	switch end.Reason {
+	case work.EndDone:
+		s.clearSuspicion(worker)
+		if step.Lasting {
+			return
+		}
+		s.recordEnd(tick.Now, jobID, worker, end.Number)
+		if step.Gang { // one end stands for all members
+			for _, member := range slices.Clone(stage.Tasks) {
+				s.finishTask(tick, member)
+			}
+			return
+		}
+		s.finishTask(tick, taskID)
+	case work.EndFailed:
+		t.Avoid = worker
+		s.suspect(tick.Now, worker, j.Spec.ID, failureSuspicion)
+		if !step.Lasting {
+			s.recordEnd(tick.Now, jobID, worker, end.Number)
+			s.failTask(taskID, end.Run)
+		}
+	}
+}
+
+// recordEnd keeps an end from being acknowledged before the job is saved.
+func (s *State) recordEnd(now time.Time, job, worker table.ID, number int64) {
+	j := s.Jobs.Get(job)
+	w := s.Workers.Get(worker)
+	if j.saved {
+		return
+	}
+	w.acking[number] = struct{}{}
+	j.ends = append(j.ends, pendingEnd{worker: worker, born: w.Born, number: number})
+	j.Begun, j.dirty, j.saveAfter = true, true, now
+}
+
+// begin marks a job as begun.
+func (s *State) begin(now time.Time, taskID table.ID) {
+	stage := s.Stages.Get(s.Tasks.Get(taskID).Stage)
+	if j := s.Jobs.Get(stage.Job); !j.Begun {
+		j.Begun, j.dirty, j.saveAfter = true, true, now.Add(beginInterval)
+	}
+}
--- /dev/null
+++ b/entry/effects.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingbridge/waxwingbridge/dispatch"
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/intake"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/ownership"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/upkeep"
+)
+
+// flush hands the effects of a tick to goroutines and publishes what traffic
+// reads. It must not block.
+func (p *Process) flush(s *State, tick engine.Tick) {
+	s.Intake.Replies.Drain(p.reply)
+	s.Intake.Writes.Drain(p.write(s))
+	s.Ownership.Writes.Drain(p.write(s))
+	s.Dispatch.Out.Writes.Drain(p.write(s))
+	s.Upkeep.Writes.Drain(p.write(s))
+	s.Ownership.LeaseCalls.Drain(func(c ownership.LeaseCall) { p.perform(func(ctx context.Context) event { return p.callLease(ctx, c) }) })
+	s.Intake.Lookups.Drain(func(l intake.Lookup) { p.perform(func(ctx context.Context) event { return p.lookup(ctx, l) }) })
+	out := &s.Dispatch.Out
+	out.Starts.Drain(func(o dispatch.StartOrder) { p.perform(func(ctx context.Context) event { return p.start(ctx, o) }) })
+	out.Stops.Drain(func(o dispatch.StopOrder) { p.perform(func(ctx context.Context) event { return p.stop(ctx, o) }) })
+	out.Paces.Drain(func(o dispatch.PaceOrder) { p.perform(func(ctx context.Context) event { return p.pace(ctx, o) }) })
+	out.Looks.Drain(func(o dispatch.LookOrder) { p.perform(func(ctx context.Context) event { return p.look(ctx, o) }) })
+	out.Advice.Drain(func(q dispatch.AdviceQuestion) { p.perform(func(ctx context.Context) event { return p.ask(ctx, q) }) })
+	s.Upkeep.Lists.Drain(func(struct{}) { p.perform(p.listMachines) })
+	s.Upkeep.Calls.Drain(func(c upkeep.MachineCall) { p.perform(func(ctx context.Context) event { return p.maintain(ctx, c) }) })
+
+	for _, logs := range []interface{ Drain(func(events.Record)) }{&s.Logs, &s.Intake.Logs, &out.Logs, &s.Upkeep.Logs} {
+		logs.Drain(p.log.Write)
+	}
+	out.Counters.Drain(func(c dispatch.Count) { p.counters.add(c.Name, c.Delta) })
+	p.publish(s, tick)
+}
+
+// perform makes one call and posts its result.
+func (p *Process) perform(call func(context.Context) event) {
+	p.calls.Add(1)
+	go func() {
+		defer p.calls.Done()
+		result := call(p.ctx)
+		if err := p.loop.Post(p.ctx, result); err != nil && p.ctx.Err() == nil {
+			p.log.Log(events.InvariantBroken, events.Err(err))
+		}
+	}()
+}
+
+// inTime reports whether an order may still leave. A process that stood still
+// finds out here, on a clock that also counts suspension.
+func inTime(notAfter time.Time) bool { return notAfter.IsZero() || now().Before(notAfter) }
+
+func (p *Process) write(s *State) func(ledger.Write) {
+	lease := s.Ownership.Lease
+	return func(w ledger.Write) {
+		p.perform(func(ctx context.Context) event { return wrote{p.commit(ctx, w, lease)} })
+	}
+}
+
+func (p *Process) commit(ctx context.Context, w ledger.Write, lease int64) ledger.WriteResult {
+	result := ledger.WriteResult{ID: w.ID, Outcome: ledger.Refused}
+	txn, err := encodeWrite(w, lease)
+	if err != nil {
+		result.Err = err
+		return result
+	}
+	if !inTime(w.NotAfter) {
+		result.Err = errors.New("the process may no longer write this")
+		return result
+	}
+	begin := now()
+	answer, err := p.store.Commit(ctx, txn)
+	p.timers.record("store_commit", now().Sub(begin))
+	switch {
+	case errors.Is(err, platform.ErrRefused), errors.Is(err, platform.ErrNotSent):
+		result.Err = err
+	case err != nil:
+		result.Outcome, result.Err = ledger.Unknown, err
+	case answer.NoLease:
+		result.Outcome = ledger.LeaseGone
+	case answer.Applied:
+		result.Outcome, result.Revision = ledger.Applied, answer.Revision
+	default:
+		result.Outcome = ledger.Conflict
+		result.Current, result.Err = currentRecords(answer.Current)
+	}
+	return result
+}
+
+// currentRecords decodes the items of a conflict. Items that can't be decoded
+// are left out and reported.
+func currentRecords(items []platform.Item) ([]ledger.Seen, error) {
+	var all []ledger.Seen
+	var failed error
+	for _, item := range items {
+		if len(item.Key) <= len(platform.OwnPrefix) {
+			continue
+		}
+		missing := item.Deleted || item.Revision == 0
+		seen, err := seenRecord(item.Key[len(platform.OwnPrefix):], item.Value, item.Revision, item.Created, missing)
+		if err != nil {
+			failed = errors.CombineErrors(failed, err)
+			continue
+		}
+		all = append(all, seen)
+	}
+	return all, failed
+}
+
+func (p *Process) callLease(ctx context.Context, call ownership.LeaseCall) event {
+	answer := leaseAnswered{call: call, sentAt: now(), ttl: ownership.LeaseTTL}
+	switch call.Verb {
+	case ownership.LeaseGrant:
+		answer.lease, answer.ttl, answer.err = p.store.Grant(ctx, ownership.LeaseTTL)
+	case ownership.LeaseRenew:
+		answer.err = p.store.Renew(ctx, call.Lease)
+		if errors.Is(answer.err, platform.ErrNoLease) {
+			answer.gone, answer.err = true, nil
+		}
+	case ownership.LeaseRelease:
+		answer.err = p.store.Release(ctx, call.Lease)
+	}
+	return answer
+}
+
+func (p *Process) lookup(ctx context.Context, l intake.Lookup) event {
+	result := found{lookup: l}
+	for _, kind := range []ledger.Kind{ledger.KindJob, ledger.KindProgress, ledger.KindCancel} {
+		key := ledger.Key{Kind: kind, Name: l.Job}
+		item, err := p.store.Get(ctx, storeKey(key))
+		if err != nil {
+			result.err = err
+			return result
+		}
+		if item.Deleted {
+			if kind == ledger.KindJob {
+				return result
+			}
+			continue
+		}
+		seen, err := seenRecord(item.Key[len(platform.OwnPrefix):], item.Value, item.Revision, item.Created, false)
+		if err != nil {
+			result.err = err
+			return result
+		}
+		result.records = append(result.records, seen)
+	}
+	return result
+}
+
+func ref(t dispatch.Target) platform.WorkerRef { return platform.WorkerRef{ID: t.ID, Address: t.Address} }
+
+var startAnswers = map[platform.OrderResult]dispatch.StartAnswer{
+	platform.OrderDone: dispatch.StartAccepted, platform.OrderFenced: dispatch.StartFenced, platform.OrderOld: dispatch.StartOld,
+	platform.OrderLate: dispatch.StartLate, platform.OrderNoRoom: dispatch.StartNoRoom, platform.OrderNoTicket: dispatch.StartNoTicket,
+	platform.OrderInvalid: dispatch.StartInvalid, platform.OrderUnhealthy: dispatch.StartUnhealthy,
+	platform.OrderOtherLife: dispatch.StartOtherLife, platform.OrderUnanswered: dispatch.StartUnanswered,
+	platform.OrderNotSent: dispatch.StartNotSent,
+}
+
+func (p *Process) start(ctx context.Context, o dispatch.StartOrder) event {
+	if !inTime(o.Target.NotAfter) {
+		return started{order: o, answer: dispatch.StartNotSent}
+	}
+	begin := now()
+	a := p.workers.Start(ctx, ref(o.Target), platform.Start{
+		Task: o.Task, Run: o.Number, Payload: o.Payload, LeaseUntil: o.LeaseUntil, Token: o.Target.Token,
+		Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+	})
+	p.timers.record("worker_start", now().Sub(begin))
+	return started{order: o, answer: startAnswers[a.Result], clock: a.Clock, born: a.Born, err: a.Err}
+}
+
+func (p *Process) stop(ctx context.Context, o dispatch.StopOrder) event {
+	if !inTime(o.Target.NotAfter) {
+		return stopped{order: o}
+	}
+	a := p.workers.Stop(ctx, ref(o.Target), o.Task, o.Number, o.Target.Token)
+	return stopped{order: o, done: a.Result == platform.OrderDone, otherLife: a.Result == platform.OrderOtherLife, clock: a.Clock}
+}
+
+func (p *Process) pace(ctx context.Context, o dispatch.PaceOrder) event {
+	if !inTime(o.Target.NotAfter) {
+		return paced{order: o}
+	}
+	a := p.workers.Pace(ctx, ref(o.Target), o.Task, o.Number, o.Percent, o.Target.Token)
+	return paced{order: o, done: a.Result == platform.OrderDone}
+}
+
+func (p *Process) look(ctx context.Context, o dispatch.LookOrder) event {
+	result := looked{to: o.Target, result: dispatch.LookFailed}
+	if !inTime(o.Target.NotAfter) {
+		return result
+	}
+	a := p.workers.Look(ctx, ref(o.Target), platform.Look{
+		LeaseUntil: o.LeaseUntil, Token: o.Target.Token, Acknowledged: o.Acknowledged, Wait: o.Wait,
+	})
+	result.clock, result.born, result.running, result.ended = a.Clock, a.Born, a.Running, a.Ended
+	switch a.Result {
+	case platform.OrderDone:
+		result.result = dispatch.LookListed
+	case platform.OrderFenced:
+		result.result = dispatch.LookFenced
+	case platform.OrderOtherLife:
+		result.result = dispatch.LookOtherLife
+	default:
+		p.log.Log(events.WorkerUnreachable, events.F("worker", o.Target.ID), events.F("answer", a.Result.String()), events.Err(a.Err))
+	}
+	return result
+}
+
+func (p *Process) ask(ctx context.Context, q dispatch.AdviceQuestion) event {
+	tickets, err := p.advice.Ask(ctx, q.Name, q.Workers, q.Expected)
+	return advised{question: q, tickets: tickets, err: err}
+}
+
+func (p *Process) listMachines(ctx context.Context) event {
+	machines, err := p.machines.List(ctx)
+	return machinesListed{machines: machines, err: err}
+}
+
+func (p *Process) maintain(ctx context.Context, c upkeep.MachineCall) event {
+	answer := machineCalled{call: c, result: upkeep.CallRepeat, reason: "not-sent"}
+	if !inTime(c.NotAfter) {
+		return answer
+	}
+	result, err := p.machines.Maintain(ctx, platform.Holder{Name: p.settings.Node, Token: c.Token}, c.Machine, c.Wave)
+	answer.err, answer.reason = err, result.String()
+	switch result {
+	case platform.MachineAccepted:
+		answer.result = upkeep.CallAccepted
+	case platform.MachineNotInWave, platform.MachineRefused:
+		answer.result = upkeep.CallNotInWave
+	}
+	return answer
+}
--- /dev/null
+++ b/entry/events.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/dispatch"
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/intake"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/ownership"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/upkeep"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// event is something that traffic goroutines report to the control thread.
+type event interface {
+	apply(s *State, tick engine.Tick)
+}
+
+// storeChanged carries changes of the store.
+type storeChanged struct{ batch platform.Batch }
+
+func (e storeChanged) apply(s *State, tick engine.Tick) {
+	for _, err := range e.batch.Invalid {
+		s.Logs.Add(events.Record{Event: events.EntryInvalid, Fields: []events.Field{events.Err(err)}})
+	}
+	for i := range e.batch.Entries {
+		s.applyEntry(tick, e.batch.Entries[i])
+	}
+	s.Ledger.Revision = max(s.Ledger.Revision, e.batch.Revision)
+	s.Ledger.SeenAt = tick.Now
+	if e.batch.Full {
+		s.Ledger.Synced = true
+		s.Ownership.Synced(tick.Now)
+	}
+}
+
+// requested carries a client's request.
+type requested struct{ request intake.Request }
+
+func (e requested) apply(s *State, tick engine.Tick) { s.Intake.Receive(tick, e.request) }
+
+// wrote carries the result of a store write.
+type wrote struct{ result ledger.WriteResult }
+
+func (e wrote) apply(s *State, tick engine.Tick) {
+	_ = s.Intake.WriteDone(tick, e.result) || s.Dispatch.WriteDone(tick, e.result) ||
+		s.Ownership.WriteDone(tick.Now, e.result) || s.Upkeep.WriteDone(tick, e.result)
+}
+
+// leaseAnswered carries the answer to a call about the store lease.
+type leaseAnswered struct {
+	call   ownership.LeaseCall
+	lease  int64
+	ttl    time.Duration
+	sentAt time.Time
+	gone   bool
+	err    error
+}
+
+func (e leaseAnswered) apply(s *State, tick engine.Tick) {
+	if e.err != nil || e.gone {
+		s.Logs.Add(events.Record{Event: events.LeaseCallFailed, Fields: []events.Field{
+			events.F("lease", e.call.Lease), events.F("gone", e.gone), events.Err(e.err),
+		}})
+	}
+	s.Ownership.LeaseAnswered(tick.Now, e.call, e.lease, e.ttl, e.sentAt, e.gone, e.err)
+}
+
+// looked carries a worker's lists.
+type looked struct {
+	to      dispatch.Target
+	result  dispatch.LookResult
+	clock   time.Duration
+	born    int64
+	running []work.RunStatus
+	ended   []work.RunEnd
+}
+
+func (e looked) apply(s *State, tick engine.Tick) {
+	s.Dispatch.Looked(tick, e.to, e.result, e.clock, e.born, e.running, e.ended)
+}
+
+// started carries the answer to a start.
+type started struct {
+	order  dispatch.StartOrder
+	answer dispatch.StartAnswer
+	clock  time.Duration
+	born   int64
+	err    error
+}
+
+func (e started) apply(s *State, tick engine.Tick) {
+	s.Dispatch.Started(tick, e.order, e.answer, e.clock, e.born, e.err)
+}
+
+// stopped carries the answer to a stop.
+type stopped struct {
+	order     dispatch.StopOrder
+	done      bool
+	otherLife bool
+	clock     time.Duration
+}
+
+func (e stopped) apply(s *State, tick engine.Tick) {
+	s.Dispatch.Stopped(tick, e.order, e.done, e.otherLife, e.clock)
+}
+
+// paced carries the answer to a pace order.
+type paced struct {
+	order dispatch.PaceOrder
+	done  bool
+}
+
+func (e paced) apply(s *State, _ engine.Tick) { s.Dispatch.Paced(e.order, e.done) }
+
+// advised carries the answer of the advice service.
+type advised struct {
+	question dispatch.AdviceQuestion
+	tickets  platform.Tickets
+	err      error
+}
+
+func (e advised) apply(s *State, tick engine.Tick) {
+	s.Dispatch.Advised(tick, e.question, e.tickets.ByWorker, e.tickets.Validity, e.err)
+}
+
+// found carries the records of a job that a client asked for.
+type found struct {
+	lookup  intake.Lookup
+	records []ledger.Seen
+	err     error
+}
+
+func (e found) apply(s *State, tick engine.Tick) { s.Intake.Found(tick, e.lookup, e.records, e.err) }
+
+// machinesListed carries the machine list.
+type machinesListed struct {
+	machines []work.Machine
+	err      error
+}
+
+func (e machinesListed) apply(s *State, tick engine.Tick) { s.Upkeep.Listed(tick, e.machines, e.err) }
+
+// machineCalled carries the answer to an order for a machine.
+type machineCalled struct {
+	call   upkeep.MachineCall
+	result upkeep.CallResult
+	reason string
+	err    error
+}
+
+func (e machineCalled) apply(s *State, tick engine.Tick) {
+	s.Upkeep.Called(tick, e.call, e.result, e.reason, e.err)
+}
+
+// stopRequested begins a planned stop.
+type stopRequested struct{}
+
+func (stopRequested) apply(s *State, tick engine.Tick) {
+	if s.stopping.IsZero() {
+		s.stopping = tick.Now
+		s.Dispatch.Stopping = true
+	}
+}
--- /dev/null
+++ b/entry/records.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// folders are the parts of our keys that name the kind of a record.
+var folders = map[ledger.Kind]string{
+	ledger.KindJob: "job", ledger.KindProgress: "progress", ledger.KindCancel: "cancel", ledger.KindOwner: "owner",
+	ledger.KindEpoch: "epoch", ledger.KindPeer: "peer", ledger.KindContacts: "contacts", ledger.KindMachineOrder: "machine",
+}
+
+func storeKey(key ledger.Key) string {
+	if key.Kind == ledger.KindWaveStatus {
+		number, _ := strconv.Atoi(key.Name) // the name was made from a number
+		return platform.WaveStatus(number, false).Key
+	}
+	return platform.OwnPrefix + folders[key.Kind] + "/" + key.Name
+}
+
+// parseKey is the inverse of storeKey for our own keys, without the prefix.
+func parseKey(name string) (ledger.Key, bool) {
+	folder, rest, ok := strings.Cut(name, "/")
+	if !ok {
+		return ledger.Key{}, false
+	}
+	for kind, known := range folders {
+		if known == folder {
+			return ledger.Key{Kind: kind, Name: rest}, true
+		}
+	}
+	return ledger.Key{}, false
+}
+
+// The stored forms leave out zero fields; most fields of most steps are zero.
+type (
+	storedJob struct {
+		Queue      string
+		Pool       string
+		Payload    string `json:",omitempty"`
+		Steps      []storedStep
+		Schedule   work.Schedule `json:",omitzero"`
+		Limits     work.Limits
+		AcceptedAt int64 // Unix milliseconds
+	}
+	storedStep struct {
+		Count          int
+		Size           placement.Resources
+		Estimate       time.Duration `json:",omitempty"`
+		After          []int         `json:",omitempty"`
+		Checkpointing  bool          `json:",omitempty"`
+		Gang           bool          `json:",omitempty"`
+		SameRack       bool          `json:",omitempty"`
+		Speculative    bool          `json:",omitempty"`
+		Lasting        bool          `json:",omitempty"`
+		Fills          bool          `json:",omitempty"`
+		Label          string        `json:",omitempty"`
+		Rack           string        `json:",omitempty"`
+		MaxPerWorker   int           `json:",omitempty"`
+		Image          string        `json:",omitempty"`
+		LatencyTarget  time.Duration `json:",omitempty"`
+		MaxUnavailable int           `json:",omitempty"`
+	}
+	storedProgress struct {
+		State  work.JobState
+		Stages []storedStage `json:",omitempty"`
+	}
+	storedStage struct {
+		Occurrence int                 `json:",omitempty"`
+		Step       int                 `json:",omitempty"`
+		Done       []byte              `json:",omitempty"`
+		Failed     []work.TaskFailures `json:",omitempty"`
+	}
+)
+
+func encodeRecord(put ledger.Put) (platform.KeyValue, error) {
+	if put.Key.Kind == ledger.KindWaveStatus {
+		completed, _ := put.Content.(bool)
+		number, err := strconv.Atoi(put.Key.Name)
+		return platform.WaveStatus(number, completed), errors.Wrap(err, "wave number")
+	}
+	var content any
+	switch c := put.Content.(type) {
+	case *work.Job:
+		job := storedJob{Queue: c.Queue, Pool: c.Pool, Payload: c.Payload, Schedule: c.Schedule, Limits: c.Limits, AcceptedAt: c.AcceptedAt.UnixMilli()}
+		for _, step := range c.Steps {
+			job.Steps = append(job.Steps, storedStep(step))
+		}
+		content = job
+	case *work.Progress:
+		progress := storedProgress{State: c.State}
+		for _, stage := range c.Stages {
+			progress.Stages = append(progress.Stages, storedStage(stage))
+		}
+		content = progress
+	default:
+		content = put.Content
+	}
+	value, err := json.Marshal(content)
+	return platform.KeyValue{Key: storeKey(put.Key), Value: value}, errors.Wrapf(err, "encode %s", storeKey(put.Key))
+}
+
+// decodeRecord decodes a record of our own.
+func decodeRecord(key ledger.Key, value []byte) (any, error) {
+	switch key.Kind {
+	case ledger.KindJob:
+		var stored storedJob
+		if err := json.Unmarshal(value, &stored); err != nil {
+			return nil, err
+		}
+		job := &work.Job{
+			ID: key.Name, Queue: stored.Queue, Pool: stored.Pool, Payload: stored.Payload, Schedule: stored.Schedule,
+			Limits: stored.Limits, AcceptedAt: time.UnixMilli(stored.AcceptedAt),
+		}
+		for _, step := range stored.Steps {
+			job.Steps = append(job.Steps, work.Step(step))
+		}
+		return job, job.Validate()
+	case ledger.KindProgress:
+		var stored storedProgress
+		if err := json.Unmarshal(value, &stored); err != nil {
+			return nil, err
+		}
+		progress := &work.Progress{State: stored.State}
+		for _, stage := range stored.Stages {
+			progress.Stages = append(progress.Stages, work.StageProgress(stage))
+		}
+		return progress, nil
+	case ledger.KindOwner, ledger.KindEpoch, ledger.KindPeer:
+		return decodeAs[work.Ownership](value)
+	case ledger.KindMachineOrder:
+		return decodeAs[work.MachineOrder](value)
+	case ledger.KindContacts:
+		var contacts []work.Contact
+		err := json.Unmarshal(value, &contacts)
+		return contacts, err
+	default:
+		return nil, nil //nolint:nilnil // the other kinds have no content
+	}
+}
+
+func decodeAs[T any](value []byte) (*T, error) {
+	content := new(T)
+	return content, json.Unmarshal(value, content)
+}
+
+// seenRecord decodes an item of our own.
+func seenRecord(name string, value []byte, revision, created int64, deleted bool) (ledger.Seen, error) {
+	key, ok := parseKey(name)
+	if !ok {
+		return ledger.Seen{}, errors.Newf("store key %s%s names no known record", platform.OwnPrefix, name)
+	}
+	seen := ledger.Seen{Key: key, Revision: revision, Created: created, Deleted: deleted}
+	if deleted {
+		return seen, nil
+	}
+	var err error
+	seen.Content, err = decodeRecord(key, value)
+	return seen, errors.Wrapf(err, "store key %s%s", platform.OwnPrefix, name)
+}
+
+func encodeWrite(write ledger.Write, lease int64) (platform.Txn, error) {
+	var txn platform.Txn
+	for _, condition := range write.Expect {
+		txn.Expect = append(txn.Expect, platform.KeyRevision{Key: storeKey(condition.Key), Revision: condition.Revision})
+	}
+	for _, put := range write.Put {
+		set, err := encodeRecord(put)
+		if err != nil {
+			return platform.Txn{}, err
+		}
+		if put.Leased {
+			set.Lease = lease
+		}
+		txn.Set = append(txn.Set, set)
+	}
+	for _, key := range write.Delete {
+		txn.Remove = append(txn.Remove, storeKey(key))
+	}
+	return txn, nil
+}
--- /dev/null
+++ b/entry/systems.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/dispatch"
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/intake"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/ownership"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/table"
+	"github.com/waxwingbridge/waxwingbridge/upkeep"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// State is the control state of a process.
+type State struct {
+	Ledger    ledger.Ledger
+	Ownership ownership.State
+	Dispatch  *dispatch.State
+	Intake    *intake.State
+	Upkeep    upkeep.State
+
+	Manifest *work.Manifest
+	Logs     table.Outbound[events.Record]
+
+	lastWrite  uint64
+	fleetToken int64
+	fleetSince time.Time
+	stopping   time.Time // when a planned stop began
+	maintained []string
+	tickAt     time.Time
+}
+
+// releaseAfter bounds how long a planned stop waits for orders in flight
+// before the duties are released: the next owner asks the workers anyway.
+const releaseAfter = 600 * time.Millisecond
+
+// systems lists what runs in each tick, in this order.
+func systems() []engine.System[State] {
+	return slices.Concat(
+		engine.Lift(func(s *State) *intake.State { return s.Intake }, intake.Systems),
+		engine.Lift(func(s *State) *ownership.State { return &s.Ownership }, ownership.Systems),
+		[]engine.System[State]{
+			{Name: "hand duties to their parts", Run: handDuties},
+			{Name: "mark machines under maintenance", Run: markMaintenance},
+		},
+		engine.Lift(func(s *State) *dispatch.State { return s.Dispatch }, dispatch.Systems),
+		engine.Lift(func(s *State) *upkeep.State { return &s.Upkeep }, upkeep.Systems),
+		[]engine.System[State]{{Name: "release duties at a planned stop", Run: releaseDuties}},
+	)
+}
+
+func newState(settings *platform.Settings, incarnation string, timeOfDay func() time.Time) *State {
+	s := &State{}
+	nextWrite := func() uint64 { s.lastWrite++; return s.lastWrite }
+	s.Ownership.Node, s.Ownership.Incarnation, s.Ownership.NextWrite = settings.Node, incarnation, nextWrite
+	s.Dispatch = dispatch.New(dispatch.Config{
+		MaxLease: settings.Bounds.MaxLease, StopTime: settings.Bounds.StopTime, OwnerLease: ownership.LeaseTTL,
+		Notice: settings.Bounds.Notice, RemoteFactor: settings.Bounds.RemoteFactor,
+	}, &s.Ledger, nextWrite, timeOfDay)
+	s.Intake = intake.New(&s.Ledger, nextWrite)
+	s.Upkeep.OrderTurn, s.Upkeep.MachineReturn, s.Upkeep.NextWrite = settings.Bounds.OrderTurn, settings.Bounds.MachineReturn, nextWrite
+	s.Upkeep.Idle = s.Dispatch.Idle
+	s.Upkeep.PoolToken = func(pool string, now time.Time) (int64, bool) {
+		token, _, owned := s.Ownership.Token(poolDuty(pool), now)
+		return token, owned
+	}
+	s.Upkeep.Standby = func(pool string) bool {
+		p := s.Manifest.Pool(pool)
+		return p != nil && p.Standby
+	}
+	return s
+}
+
+// poolDuty returns the duty of a pool; owner records of pools and of the fleet
+// share one name space.
+func poolDuty(pool string) string { return pool }
+
+// handDuties tells the parts what this process owns.
+func handDuties(s *State, tick engine.Tick) {
+	var lost []string
+	for name, token := range s.Dispatch.Owned {
+		current, _, _ := s.Ownership.Token(poolDuty(name), tick.Now)
+		if !s.Ownership.Holds(poolDuty(name)) || current != token {
+			lost = append(lost, name)
+		}
+	}
+	for _, name := range lost {
+		s.Dispatch.Disown(name)
+	}
+	if s.Manifest == nil {
+		return
+	}
+	for i := range s.Manifest.Pools {
+		name := s.Manifest.Pools[i].Name
+		if token, epoch, _ := s.Ownership.Token(poolDuty(name), tick.Now); s.Ownership.Holds(poolDuty(name)) {
+			s.Dispatch.Own(tick.Now, name, token, epoch, s.Ownership.ValidUntil)
+		}
+	}
+	token, _, owned := s.Ownership.Token(upkeep.Duty, tick.Now)
+	if owned && token != s.fleetToken {
+		s.fleetToken, s.fleetSince = token, tick.Now
+	}
+	s.Upkeep.Role = upkeep.Role{Fleet: owned && s.stopping.IsZero(), FleetToken: token, FleetSince: s.fleetSince, Until: s.Ownership.ValidUntil}
+}
+
+// markMaintenance keeps new work off machines that are taken out.
+func markMaintenance(s *State, _ engine.Tick) {
+	var now []string
+	for worker := range s.Upkeep.Maintained {
+		now = append(now, worker)
+		s.Dispatch.SetMaintenance(worker, true)
+	}
+	for _, worker := range s.maintained {
+		if !slices.Contains(now, worker) {
+			s.Dispatch.SetMaintenance(worker, false)
+		}
+	}
+	s.maintained = now
+}
+
+// releaseDuties gives everything up during a planned stop, so that others
+// take over at once.
+func releaseDuties(s *State, tick engine.Tick) {
+	if s.stopping.IsZero() {
+		return
+	}
+	if s.Dispatch.Quiet() || tick.Now.Sub(s.stopping) > releaseAfter {
+		s.Ownership.Release()
+	}
+}
+
+// applyEntry records one change of the store.
+func (s *State) applyEntry(tick engine.Tick, e platform.Entry) {
+	switch e.Kind {
+	case platform.EntryManifest:
+		if e.Manifest != nil {
+			s.useManifest(tick, e.Manifest, e.Revision)
+		}
+	case platform.EntryWorker:
+		if e.Deleted {
+			s.Dispatch.WorkerGone(tick.Now, e.Name, e.Revision)
+		} else {
+			s.Dispatch.WorkerSeen(tick.Now, e.Worker, e.Revision)
+		}
+	case platform.EntryWave:
+		if e.Wave != nil {
+			s.Upkeep.WaveSeen(tick.Now, *e.Wave)
+		}
+	case platform.EntryWaveStatus:
+		if number, err := strconv.Atoi(e.Name); err == nil && !e.Deleted {
+			s.Upkeep.StatusSeen(tick.Now, number, e.Completed)
+		}
+	case platform.EntryRecord:
+		seen, err := seenRecord(e.Name, e.Record, e.Revision, e.Created, e.Deleted)
+		if err != nil {
+			s.Logs.Add(events.Record{Event: events.EntryInvalid, Fields: []events.Field{events.Err(err), events.F("revision", e.Revision)}})
+			return
+		}
+		s.applyRecord(tick, seen)
+	}
+}
+
+func (s *State) applyRecord(tick engine.Tick, seen ledger.Seen) {
+	switch seen.Key.Kind {
+	case ledger.KindOwner, ledger.KindEpoch, ledger.KindPeer:
+		s.Ownership.Apply(tick.Now, seen)
+	case ledger.KindContacts:
+		s.Dispatch.ContactsSeen(seen)
+	case ledger.KindMachineOrder:
+		s.Upkeep.OrderSeen(seen)
+	default:
+		s.Ledger.Apply(tick.Now, seen)
+	}
+}
+
+// useManifest puts a manifest in force. An older version never follows a newer
+// one.
+func (s *State) useManifest(tick engine.Tick, m *work.Manifest, revision int64) {
+	if s.Manifest != nil && m.Version <= s.Manifest.Version {
+		return
+	}
+	s.Manifest = m
+	duties := []string{upkeep.Duty}
+	for i := range m.Pools {
+		if !m.Pools[i].Standby {
+			duties = append(duties, poolDuty(m.Pools[i].Name))
+		}
+	}
+	s.Ownership.Want(tick.Now, duties)
+	s.Logs.Add(events.Record{Event: events.ManifestInForce, Fields: []events.Field{
+		events.F("version", m.Version), events.F("revision", revision), events.F("queues", len(m.Queues)), events.F("pools", len(m.Pools)),
+	}})
+}
--- a/gateway/control/control_test.go
+++ b/gateway/control/control_test.go
@@ -9,10 +9,10 @@
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/gateway/traffic"
 	"github.com/waxwingbridge/waxwingbridge/idempotency"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/membership"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/outcome"
-	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/store"
 )
--- a/measure/capacity/codec.go
+++ b/measure/capacity/codec.go
@@ -11,13 +11,13 @@
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/gateway/traffic"
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/membership"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/peerapi"
 	"github.com/waxwingbridge/waxwingbridge/peerapi/peerpb"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/placement/pagecodec"
-	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	"github.com/waxwingbridge/waxwingbridge/table"
 )
--- a/measure/capacity/fixture.go
+++ b/measure/capacity/fixture.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
+	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/node"
 	"github.com/waxwingbridge/waxwingbridge/placement"
-	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/policy"
 	standin "github.com/waxwingbridge/waxwingbridge/standin/platform"
 )
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -67,3 +67,8 @@
 	return scope.Tagged(map[string]string{"tenant": tenant, "class": class}).
 		Histogram("job_start_wait_seconds", latencyBuckets)
 }
+
+// Latency returns the histogram of the named step.
+func Latency(scope tally.Scope, step string) tally.Histogram {
+	return scope.Histogram(step+"_seconds", latencyBuckets)
+}
--- a/node/process.go
+++ b/node/process.go
@@ -10,9 +10,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingbridge/waxwingbridge/events"
-	"github.com/waxwingbridge/waxwingbridge/metrics"
 	"github.com/waxwingbridge/waxwingbridge/infra"
 	"github.com/waxwingbridge/waxwingbridge/infra/httpapi"
+	"github.com/waxwingbridge/waxwingbridge/metrics"
 	"github.com/waxwingbridge/waxwingbridge/settings"
 	"github.com/waxwingbridge/waxwingbridge/store"
 	"github.com/waxwingbridge/waxwingbridge/store/etcdgateway"
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -11,8 +11,8 @@
 	"github.com/waxwingbridge/waxwingbridge/controller"
 	"github.com/waxwingbridge/waxwingbridge/fleet"
 	"github.com/waxwingbridge/waxwingbridge/gateway"
-	"github.com/waxwingbridge/waxwingbridge/outcome"
 	"github.com/waxwingbridge/waxwingbridge/infra"
+	"github.com/waxwingbridge/waxwingbridge/outcome"
 	"github.com/waxwingbridge/waxwingbridge/standin/target"
 )
 
--- a/test/zone_cells_test.go
+++ b/test/zone_cells_test.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/fleet"
-	"github.com/waxwingbridge/waxwingbridge/outcome"
 	"github.com/waxwingbridge/waxwingbridge/infra"
+	"github.com/waxwingbridge/waxwingbridge/outcome"
 	standin "github.com/waxwingbridge/waxwingbridge/standin/platform"
 	"github.com/waxwingbridge/waxwingbridge/standin/target"
 )
--- /dev/null
+++ b/upkeep/upkeep.go
@@ -0,0 +1,514 @@
+// Package upkeep carries out the operator's maintenance waves. The owner of
+// the fleet's machines chooses machines and gives the orders; the owner of a
+// machine's pool takes the work off it first. Both work on durable orders, one
+// a machine, so that either may be replaced at any step.
+//
+// The package does no I/O: Systems run in each tick, and writes and orders
+// leave as outbound rows.
+package upkeep
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/table"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// Duty is the name of the duty whose owner orders machines.
+const Duty = "fleet"
+
+const (
+	// listEvery is the interval of machine lists while a wave is open.
+	listEvery = 400 * time.Millisecond
+	// retryOrder is the pause after an order that was not accepted.
+	retryOrder = 400 * time.Millisecond
+	// retryWrite is the pause after a write that failed.
+	retryWrite = 150 * time.Millisecond
+	// drainAhead machines are taken out of their pools before a place under
+	// the cap is free, so that draining doesn't lengthen the wave.
+	drainAhead = 1
+	// returnSlack is added to the stated length of a maintenance.
+	returnSlack = 500 * time.Millisecond
+	// maxEntries keeps a write within the 32 entries of a store transaction.
+	maxEntries = 30
+)
+
+// Wave is a maintenance wave of the operator.
+type Wave struct {
+	work.Wave
+	SeenAt    time.Time
+	Status    StatusState
+	saving    uint64
+	retryAt   time.Time
+	completed bool // said to the operator
+}
+
+// StatusState is what the operator was told.
+type StatusState uint8
+
+// What the operator was told about a wave.
+const (
+	StatusNone StatusState = iota
+	StatusRunning
+	StatusCompleted
+)
+
+// Order is a durable order for a machine with its revision.
+type Order struct {
+	work.MachineOrder
+	Revision int64
+	saving   uint64
+	retryAt  time.Time
+	calling  bool
+	// orderedAt is when this process saw the order as given.
+	orderedAt time.Time
+}
+
+// MachineCall is an outbound call to the machine service.
+type MachineCall struct {
+	Order    table.ID
+	Machine  string
+	Wave     int
+	Token    int64
+	NotAfter time.Time
+}
+
+// Role is what this process may do at the moment.
+type Role struct {
+	Fleet      bool
+	FleetToken int64
+	FleetSince time.Time
+	Until      time.Time
+}
+
+// State holds the tables.
+type State struct {
+	// OrderTurn is the pause before a new owner orders a machine.
+	OrderTurn time.Duration
+	// MachineReturn is how long a machine is down for its maintenance.
+	MachineReturn time.Duration
+	Role      Role
+	Standby   func(pool string) bool
+	// Idle reports whether nothing runs on a worker of an owned pool.
+	Idle func(worker string, now time.Time) (idle, known bool)
+	// PoolToken returns the token of an owned pool.
+	PoolToken func(pool string, now time.Time) (int64, bool)
+
+	Waves  table.Table[Wave]
+	Orders table.Table[Order]
+
+	Writes    table.Outbound[ledger.Write]
+	Calls     table.Outbound[MachineCall]
+	Lists     table.Outbound[struct{}]
+	Logs      table.Outbound[events.Record]
+	NextWrite func() uint64
+
+	waveByNumber table.Index[int]
+	orderByName  table.Index[string]
+	machines     map[string]work.Machine
+	listedAt     time.Time // when the last list was asked for
+	listing      bool
+	nextList     time.Time
+	changes      map[string]int64 // last seen revision of an order, by machine
+}
+
+// Systems lists the systems in the order in which they run.
+var Systems = []engine.System[State]{
+	{Name: "hand over idle machines", Run: handOver},
+	{Name: "list machines", Run: listMachines},
+	{Name: "follow machines", Run: followMachines},
+	{Name: "choose machines", Run: chooseMachines},
+	{Name: "order maintenance", Run: orderMaintenance},
+	{Name: "tell the operator", Run: tellOperator},
+}
+
+func (s *State) log(event events.Event, fields ...events.Field) {
+	s.Logs.Add(events.Record{Event: event, Fields: fields})
+}
+
+// WaveSeen records a wave of the operator.
+func (s *State) WaveSeen(now time.Time, wave work.Wave) {
+	if id, ok := s.waveByNumber.Get(wave.Number); ok {
+		s.Waves.Get(id).Wave = wave
+		return
+	}
+	s.waveByNumber.Put(wave.Number, s.Waves.Insert(Wave{Wave: wave, SeenAt: now}))
+	s.log(events.UpkeepWaveSeen, events.F("wave", wave.Number), events.F("machines", len(wave.Machines)),
+		events.F("cap", wave.Cap), events.F("within_s", wave.Within.Seconds()))
+}
+
+// StatusSeen records what the store says the operator was told.
+func (s *State) StatusSeen(now time.Time, number int, completed bool) {
+	id, ok := s.waveByNumber.Get(number)
+	if !ok {
+		id = s.Waves.Insert(Wave{Wave: work.Wave{Number: number}, SeenAt: now})
+		s.waveByNumber.Put(number, id)
+	}
+	s.Waves.Get(id).Status = StatusRunning
+	if completed {
+		s.Waves.Get(id).Status = StatusCompleted
+	}
+}
+
+// OrderSeen records a durable order.
+func (s *State) OrderSeen(seen ledger.Seen) {
+	if s.changes == nil {
+		s.changes = map[string]int64{}
+	}
+	if seen.Revision <= s.changes[seen.Key.Name] {
+		return
+	}
+	s.changes[seen.Key.Name] = seen.Revision
+	id, known := s.orderByName.Get(seen.Key.Name)
+	order, _ := seen.Content.(*work.MachineOrder)
+	switch {
+	case seen.Deleted || order == nil:
+		if known {
+			s.orderByName.Delete(seen.Key.Name)
+			s.Orders.Delete(id)
+		}
+	case known:
+		o := s.Orders.Get(id)
+		o.MachineOrder, o.Revision = *order, seen.Revision
+		if o.State != work.MachineIdle {
+			o.calling = false
+		}
+	default:
+		s.orderByName.Put(seen.Key.Name, s.Orders.Insert(Order{MachineOrder: *order, Revision: seen.Revision}))
+	}
+}
+
+// Maintained iterates over the workers that are taken out of their pools.
+func (s *State) Maintained(yield func(worker string) bool) {
+	for _, o := range s.Orders.All() {
+		if o.Worker != "" && o.State != work.MachineDone && !yield(o.Worker) {
+			return
+		}
+	}
+}
+
+// handOver tells the fleet's owner which machines of owned pools are idle.
+func handOver(s *State, tick engine.Tick) {
+	for id, o := range s.Orders.All() {
+		if o.State != work.MachineDraining || o.saving != 0 || tick.Now.Before(o.retryAt) {
+			continue
+		}
+		token, owned := s.PoolToken(o.Pool, tick.Now)
+		if !owned {
+			continue
+		}
+		if idle, known := s.Idle(o.Worker, tick.Now); idle && known {
+			next := o.MachineOrder
+			next.State = work.MachineIdle
+			s.save(id, next, ledger.Condition{Key: ledger.Key{Kind: ledger.KindOwner, Name: o.Pool}, Revision: token})
+		}
+	}
+}
+
+// save writes the next state of an order.
+func (s *State) save(id table.ID, next work.MachineOrder, fence ledger.Condition) {
+	o := s.Orders.Get(id)
+	key := ledger.Key{Kind: ledger.KindMachineOrder, Name: o.Machine}
+	write := ledger.Write{
+		ID: s.NextWrite(), Expect: []ledger.Condition{fence, {Key: key, Revision: o.Revision}},
+		Put: []ledger.Put{{Key: key, Content: &next}},
+	}
+	o.saving = write.ID
+	s.Writes.Add(write)
+}
+
+func (s *State) fence() ledger.Condition {
+	return ledger.Condition{Key: ledger.Key{Kind: ledger.KindOwner, Name: Duty}, Revision: s.Role.FleetToken}
+}
+
+func (s *State) commands(now time.Time) bool { return s.Role.Fleet && now.Before(s.Role.Until) }
+
+func (s *State) open() bool {
+	for _, w := range s.Waves.All() {
+		if w.Status != StatusCompleted && len(w.Machines) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func listMachines(s *State, tick engine.Tick) {
+	if !s.commands(tick.Now) || !s.open() || s.listing || tick.Now.Before(s.nextList) {
+		return
+	}
+	s.listing, s.nextList, s.listedAt = true, tick.Now.Add(listEvery), tick.Now
+	s.Lists.Add(struct{}{})
+}
+
+// Listed records a list of machines.
+func (s *State) Listed(tick engine.Tick, machines []work.Machine, err error) {
+	s.listing = false
+	if err != nil {
+		s.log(events.MachinesUnavailable, events.Err(err))
+		return
+	}
+	s.machines = make(map[string]work.Machine, len(machines))
+	for _, m := range machines {
+		s.machines[m.Name] = m
+	}
+}
+
+// followMachines notes which ordered machines are back.
+func followMachines(s *State, tick engine.Tick) {
+	if !s.commands(tick.Now) || s.machines == nil {
+		return
+	}
+	for id, o := range s.Orders.All() {
+		if o.saving != 0 || tick.Now.Before(o.retryAt) || o.State == work.MachineDone {
+			continue
+		}
+		if o.State == work.MachineOrdered && o.orderedAt.IsZero() {
+			o.orderedAt = tick.Now
+		}
+		m, listed := s.machines[o.Machine]
+		next := o.MachineOrder
+		switch {
+		case !listed:
+			next.State = work.MachineDone // the machine was taken away
+		case o.State == work.MachineOrdered && m.State == work.MachineUp && s.isBack(o, m):
+			next.State = work.MachineDone
+		case o.State != work.MachineOrdered && m.State == work.MachineUp && m.Worker != o.Worker:
+			// The worker was replaced meanwhile; its successor must be drained.
+			next.Worker, next.Pool, next.State = m.Worker, m.Pool, s.firstState(m)
+		}
+		if next != o.MachineOrder {
+			s.save(id, next, s.fence())
+		}
+	}
+}
+
+// isBack reports whether a list shows the machine after its maintenance. A
+// machine of a standby pool has no worker that would tell, so a list counts
+// only if it was asked for after the maintenance must have ended.
+func (s *State) isBack(o *Order, m work.Machine) bool {
+	if m.Worker != "" && m.Worker != o.Worker {
+		return s.listedAt.After(o.orderedAt)
+	}
+	return m.Worker == "" && s.listedAt.After(o.orderedAt.Add(s.MachineReturn+returnSlack))
+}
+
+func (s *State) firstState(m work.Machine) work.MachineOrderState {
+	if m.Worker == "" || s.Standby(m.Pool) {
+		return work.MachineIdle
+	}
+	return work.MachineDraining
+}
+
+// chooseMachines starts the draining of the next machines of each wave, from
+// the pools with the fewest machines out.
+func chooseMachines(s *State, tick engine.Tick) {
+	if !s.commands(tick.Now) || s.machines == nil {
+		return
+	}
+	for _, w := range s.Waves.All() {
+		if w.Status == StatusCompleted || w.saving != 0 || tick.Now.Before(w.retryAt) {
+			continue
+		}
+		out, active := map[string]int{}, 0
+		for _, o := range s.Orders.All() {
+			if o.State != work.MachineDone {
+				out[o.Pool]++
+				if o.Wave == w.Number {
+					active++
+				}
+			}
+		}
+		room := w.Cap + drainAhead - active
+		if room <= 0 {
+			continue
+		}
+		var chosen []work.Machine
+		for _, name := range w.Machines {
+			m, listed := s.machines[name]
+			if _, ordered := s.orderByName.Get(name); !ordered && listed && m.State == work.MachineUp {
+				chosen = append(chosen, m)
+			}
+		}
+		slices.SortStableFunc(chosen, func(a, b work.Machine) int {
+			return cmp.Or(boolOrder(s.Standby(b.Pool), s.Standby(a.Pool)), cmp.Compare(out[a.Pool], out[b.Pool]))
+		})
+		s.begin(w, chosen[:min(len(chosen), room)])
+	}
+}
+
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+func (s *State) begin(w *Wave, machines []work.Machine) {
+	if len(machines) == 0 {
+		return
+	}
+	write := ledger.Write{ID: s.NextWrite(), Expect: []ledger.Condition{s.fence()}}
+	if w.Status == StatusNone {
+		write.Put = append(write.Put, ledger.Put{Key: ledger.Key{Kind: ledger.KindWaveStatus, Name: strconv.Itoa(w.Number)}, Content: false})
+	}
+	for _, m := range machines {
+		key := ledger.Key{Kind: ledger.KindMachineOrder, Name: m.Name}
+		write.Expect = append(write.Expect, ledger.Condition{Key: key})
+		write.Put = append(write.Put, ledger.Put{Key: key, Content: &work.MachineOrder{
+			Machine: m.Name, Worker: m.Worker, Pool: m.Pool, Wave: w.Number, State: s.firstState(m),
+		}})
+		s.log(events.MachineChosen, events.F("machine", m.Name), events.F("worker", m.Worker), events.F("pool", m.Pool), events.F("wave", w.Number))
+		if write.Entries() >= maxEntries {
+			break
+		}
+	}
+	w.saving = write.ID
+	s.Writes.Add(write)
+}
+
+// orderMaintenance gives the orders for idle machines, under the cap.
+func orderMaintenance(s *State, tick engine.Tick) {
+	if !s.commands(tick.Now) || tick.Now.Before(s.Role.FleetSince.Add(s.OrderTurn)) {
+		return
+	}
+	for _, w := range s.Waves.All() {
+		down := 0
+		for _, o := range s.Orders.All() {
+			if o.Wave == w.Number && (o.State == work.MachineOrdered || o.calling) {
+				down++
+			}
+		}
+		for id, o := range s.Orders.All() {
+			if down >= w.Cap {
+				break
+			}
+			if o.Wave != w.Number || o.State != work.MachineIdle || o.calling || o.saving != 0 || tick.Now.Before(o.retryAt) {
+				continue
+			}
+			o.calling = true
+			down++
+			s.Calls.Add(MachineCall{Order: id, Machine: o.Machine, Wave: w.Number, Token: s.Role.FleetToken, NotAfter: s.Role.Until})
+			s.log(events.MaintenanceOrdered, events.F("machine", o.Machine), events.F("wave", w.Number), events.F("token", s.Role.FleetToken),
+				events.F("down", down), events.F("cap", w.Cap))
+		}
+	}
+}
+
+// CallResult is the answer to an order for a machine.
+type CallResult uint8
+
+// The answers to an order for a machine.
+const (
+	CallAccepted CallResult = iota + 1
+	CallNotInWave
+	CallRepeat // not accepted, or unanswered: the same order is given again
+)
+
+// Called records the answer to an order. An unanswered order is given again:
+// the service answers an order that is already carried out like a new one.
+func (s *State) Called(tick engine.Tick, call MachineCall, result CallResult, reason string, err error) {
+	o := s.Orders.Get(call.Order)
+	s.log(events.MaintenanceAnswered, events.F("machine", call.Machine), events.F("wave", call.Wave), events.F("answer", reason), events.Err(err))
+	if o == nil {
+		return
+	}
+	next := o.MachineOrder
+	switch result {
+	case CallAccepted:
+		next.State = work.MachineOrdered
+	case CallNotInWave:
+		next.State = work.MachineDone
+	default:
+		o.calling, o.retryAt = false, tick.Now.Add(retryOrder)
+		return
+	}
+	// calling stays set until the state is durable, so that the machine counts
+	// as down.
+	if s.commands(tick.Now) {
+		s.save(call.Order, next, s.fence())
+	}
+}
+
+// tellOperator writes that a wave is completed once each of its machines had
+// its maintenance, and removes its orders.
+func tellOperator(s *State, tick engine.Tick) {
+	if !s.commands(tick.Now) || s.machines == nil {
+		return
+	}
+	for _, w := range s.Waves.All() {
+		if w.Status == StatusCompleted || w.saving != 0 || len(w.Machines) == 0 || tick.Now.Before(w.retryAt) || !s.maintained(w) {
+			continue
+		}
+		write := ledger.Write{
+			ID: s.NextWrite(), Expect: []ledger.Condition{s.fence()},
+			Put: []ledger.Put{{Key: ledger.Key{Kind: ledger.KindWaveStatus, Name: strconv.Itoa(w.Number)}, Content: true}},
+		}
+		w.saving, w.completed = write.ID, true
+		s.log(events.UpkeepWaveDone, events.F("wave", w.Number), events.F("after_ms", tick.Now.Sub(w.SeenAt).Milliseconds()))
+		s.Writes.Add(write)
+	}
+}
+
+func (s *State) maintained(w *Wave) bool {
+	for _, name := range w.Machines {
+		id, ordered := s.orderByName.Get(name)
+		_, listed := s.machines[name]
+		if listed && (!ordered || s.Orders.Get(id).State != work.MachineDone || s.Orders.Get(id).Wave != w.Number) {
+			return false
+		}
+	}
+	return true
+}
+
+// WriteDone records the result of a write and reports whether it was one of
+// this package.
+func (s *State) WriteDone(tick engine.Tick, result ledger.WriteResult) bool {
+	for _, w := range s.Waves.All() {
+		if w.saving != result.ID {
+			continue
+		}
+		w.saving = 0
+		if result.Outcome != ledger.Applied {
+			w.retryAt = tick.Now.Add(retryWrite)
+			s.seen(result)
+			w.completed = false
+			return true
+		}
+		w.Status = StatusRunning
+		if w.completed {
+			w.Status = StatusCompleted
+		}
+		return true
+	}
+	for _, o := range s.Orders.All() {
+		if o.saving != result.ID {
+			continue
+		}
+		o.saving = 0
+		if result.Outcome != ledger.Applied {
+			o.retryAt, o.calling = tick.Now.Add(retryWrite), false
+			s.seen(result)
+		}
+		return true
+	}
+	return false
+}
+
+func (s *State) seen(result ledger.WriteResult) {
+	s.log(events.UpkeepNotSaved, events.F("outcome", result.Outcome.String()), events.Err(result.Err))
+	for _, seen := range result.Current {
+		if seen.Key.Kind == ledger.KindMachineOrder {
+			s.OrderSeen(seen)
+		}
+	}
+}
--- /dev/null
+++ b/work/manifest.go
@@ -0,0 +1,75 @@
+package work
+
+import (
+	"strings"
+	"time"
+)
+
+// Manifest is one version of the operator's configuration of queues and pools.
+type Manifest struct {
+	Version      int64
+	Queues       []Queue
+	Pools        []Pool
+	MaxBodyBytes int
+}
+
+// Queue accepts jobs for one pool.
+type Queue struct {
+	Name   string
+	Host   string
+	Prefix string // path prefix; the job's ID follows it
+	Pool   string
+	Limits Limits
+}
+
+// Pool is a set of machines. The machines of a standby pool are off.
+type Pool struct {
+	Name    string
+	Standby bool
+	// Guarded workers reject a start that exceeds their capacity.
+	Guarded bool
+}
+
+// Match returns the queue for a host and the longest prefix of the path, and
+// the rest of the path.
+func (m *Manifest) Match(host, path string) (*Queue, string) {
+	var best *Queue
+	for i := range m.Queues {
+		q := &m.Queues[i]
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	if best == nil {
+		return nil, ""
+	}
+	return best, path[len(best.Prefix):]
+}
+
+// Queue returns the queue with the name, or nil.
+func (m *Manifest) Queue(name string) *Queue {
+	for i := range m.Queues {
+		if m.Queues[i].Name == name {
+			return &m.Queues[i]
+		}
+	}
+	return nil
+}
+
+// Pool returns the pool with the name, or nil.
+func (m *Manifest) Pool(name string) *Pool {
+	for i := range m.Pools {
+		if m.Pools[i].Name == name {
+			return &m.Pools[i]
+		}
+	}
+	return nil
+}
+
+// Wave asks for the maintenance of machines.
+type Wave struct {
+	Number   int
+	Machines []string
+	Within   time.Duration
+	Cap      int // machines in maintenance at the same time
+}
--- /dev/null
+++ b/work/records.go
@@ -0,0 +1,73 @@
+package work
+
+// Progress is the durable state of a job's tasks. A job without a record has
+// not begun.
+type Progress struct {
+	State  JobState
+	Stages []StageProgress
+}
+
+// StageProgress is the progress of one step of one occurrence.
+type StageProgress struct {
+	Occurrence int
+	Step       int
+	Done       []byte // bitmap by task index
+	Failed     []TaskFailures
+}
+
+// TaskFailures counts the failed runs of a task.
+type TaskFailures struct {
+	Index   int
+	Count   int
+	LastRun int // highest run that is counted
+}
+
+// IsDone reports whether the task's bit is set.
+func (p *StageProgress) IsDone(index int) bool {
+	return index/8 < len(p.Done) && p.Done[index/8]&(1<<(index%8)) != 0
+}
+
+// SetDone sets the bit of the task.
+func (p *StageProgress) SetDone(index int) {
+	for len(p.Done) <= index/8 {
+		p.Done = append(p.Done, 0)
+	}
+	p.Done[index/8] |= 1 << (index % 8)
+}
+
+// Ownership is the durable record of a pool's owner.
+type Ownership struct {
+	Node string
+	// Incarnation tells a restarted process from its predecessor.
+	Incarnation string
+	// Epoch grows with each change of owner.
+	Epoch int
+}
+
+// Contact is a worker that may hold runs of a pool, with the address under
+// which a new owner reaches it.
+type Contact struct {
+	Worker  string
+	Address string
+	Born    int64
+}
+
+// MachineOrderState is the progress of an order for a machine.
+type MachineOrderState uint8
+
+// The states of an order for a machine.
+const (
+	MachineDraining MachineOrderState = iota + 1 // the pool's owner takes the work off
+	MachineIdle                                  // nothing runs there; the order may be given
+	MachineOrdered                               // given, or being given
+	MachineDone
+)
+
+// MachineOrder takes a machine out of its pool for maintenance.
+type MachineOrder struct {
+	Machine string
+	Worker  string
+	Pool    string
+	Wave    int
+	State   MachineOrderState
+}
