Keep runs of earlier owners, let silent workers lapse, count them as away

Ruled out: fencing (every stale order was refused) and the load of the box. Each test fails with its fix taken out.

--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+func (w *world) logged(r events.Record) {
+	if testing.Verbose() {
+		w.t.Log(w.now.Sub(worldStart), r.Event.Message, r.Fields)
+	}
+}
+
+// Guards against a job that is accepted and never completed, and against
+// steps that start before those they depend on.
+func TestJobRunsStepByStep(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	second := step(3)
+	second.After = []int{0}
+	w.run(200 * time.Millisecond)
+	w.accept(job("j1", step(2), second))
+	w.run(200 * time.Millisecond)
+	if n := w.starts(work.TaskName{Job: "j1", Step: 1}); n != 0 {
+		t.Fatalf("step 1 started %d times while step 0 runs", n)
+	}
+	w.run(3 * time.Second)
+	if saved := w.saved["j1"]; saved == nil || saved.State != work.JobCompleted {
+		t.Fatalf("saved progress is %+v, want completed", saved)
+	}
+	if w.s.Jobs.Len()+w.s.Tasks.Len()+w.s.Runs.Len() != 0 {
+		t.Errorf("%d jobs, %d tasks and %d runs stay in the tables", w.s.Jobs.Len(), w.s.Tasks.Len(), w.s.Runs.Len())
+	}
+}
+
+// Guards against an end that a worker may forget before it is durable: its
+// acknowledgement waits for the write.
+func TestEndIsAcknowledgedAfterItIsSaved(t *testing.T) {
+	w := newWorld(t, "a")
+	w.run(200 * time.Millisecond)
+	w.accept(job("j1", step(1)))
+	w.run(100 * time.Millisecond)
+	w.hold = true
+	w.run(2 * time.Second)
+	if len(w.workers["a"].ended) != 1 {
+		t.Fatalf("the worker lists %d ends while the store answers nothing, want 1", len(w.workers["a"].ended))
+	}
+}
+
+// Guards against a crash: a process that owns a pool for the second time reads
+// ends of workers that it knew before.
+func TestPoolIsOwnedAgain(t *testing.T) {
+	w := newWorld(t, "a")
+	w.run(200 * time.Millisecond)
+	w.s.Disown("pool")
+	w.token = w.ledger.Revision
+	w.run(200 * time.Millisecond)
+	w.accept(job("j1", step(2)))
+	w.run(2 * time.Second)
+	if saved := w.saved["j1"]; saved == nil || saved.State != work.JobCompleted {
+		t.Fatalf("saved progress is %+v, want completed", saved)
+	}
+}
+
+// Guards against two runs of a task: a new owner finds a run of a later step
+// before it has read the ends of the step before, which other workers list.
+func TestRunOfBlockedStageIsKept(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	second := step(1)
+	second.After = []int{0}
+	w.accept(job("j1", step(1), second))
+	w.token = w.ledger.Revision + 1
+	w.ledger.Revision++
+	running := work.TaskName{Job: "j1", Step: 1}
+	w.workers["a"].running = []fakeRun{{task: running, run: 1, done: w.now.Add(2 * time.Second)}}
+	w.workers["a"].leaseUntil = w.workers["a"].clock(w.now) + worldMaxLease
+	w.workers["b"].ended = []work.RunEnd{{Number: 1, Task: work.TaskName{Job: "j1"}, Run: 1, Reason: work.EndDone}}
+	w.workers["b"].silent = true
+	w.run(300 * time.Millisecond)
+	w.workers["b"].silent = false
+	w.run(1500 * time.Millisecond)
+	if n := w.starts(running); n != 0 {
+		t.Errorf("the task was started %d times beside the run of the earlier owner", n)
+	}
+	if len(w.workers["a"].running) != 1 {
+		t.Errorf("the run of the earlier owner was stopped")
+	}
+	w.run(3 * time.Second)
+	if saved := w.saved["j1"]; saved == nil || saved.State != work.JobCompleted {
+		t.Errorf("saved progress is %+v, want completed", saved)
+	}
+}
+
+// Guards against a task that waits for ever for a worker that is gone: looks
+// that get no answer must not prolong the lease.
+func TestSilentWorkerLapses(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.runTime = 0
+	lasting := step(1)
+	lasting.Lasting = true
+	w.run(200 * time.Millisecond)
+	w.accept(job("j1", lasting))
+	w.run(300 * time.Millisecond)
+	first, other := w.workers["a"], w.workers["b"]
+	if len(first.running) == 0 {
+		first, other = other, first
+	}
+	first.silent = true
+	w.run(worldMaxLease - 500*time.Millisecond)
+	if len(other.running) != 0 {
+		t.Fatal("the task was started elsewhere while its lease lasts")
+	}
+	w.run(3 * time.Second)
+	if len(other.running) != 1 {
+		t.Fatal("the task was not started elsewhere after the lease had lapsed")
+	}
+}
+
+// Guards against a second unavailable task: one whose worker fell silent counts
+// as unavailable though its last list showed it at work.
+func TestEvictionCountsSilentWorkers(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.runTime = 0
+	lasting := step(2)
+	lasting.Lasting, lasting.MaxUnavailable, lasting.MaxPerWorker = true, 1, 1
+	w.run(200 * time.Millisecond)
+	w.accept(job("j1", lasting))
+	w.run(500 * time.Millisecond)
+	var used []*fakeWorker
+	for _, id := range []string{"a", "b", "c"} {
+		if len(w.workers[id].running) > 0 {
+			used = append(used, w.workers[id])
+		}
+	}
+	if len(used) != 2 {
+		t.Fatalf("%d workers run a task, want 2", len(used))
+	}
+	used[0].silent = true
+	w.run(3 * time.Second)
+	w.s.SetMaintenance(used[1].ID, true)
+	w.run(time.Second)
+	if len(used[1].running) != 1 {
+		t.Fatal("a task was stopped while the other one's worker is silent")
+	}
+}
+
+// Guards against two owners that run one job: a job that this process accepted
+// itself starts only after the watch has passed its acceptance, since an
+// earlier change of the owner shows by then.
+func TestOwnAcceptanceWaitsForTheWatch(t *testing.T) {
+	w := newWorld(t, "a")
+	w.run(200 * time.Millisecond)
+	early := job("j1", step(1))
+	early.Pool = "pool"
+	w.ledger.Apply(w.now, ledger.Seen{
+		Key: ledger.Key{Kind: ledger.KindJob, Name: "j1"}, Content: early, Revision: w.ledger.Revision + 5, Created: w.ledger.Revision + 5,
+	})
+	w.run(300 * time.Millisecond)
+	if n := w.starts(work.TaskName{Job: "j1"}); n != 0 {
+		t.Fatalf("the job was started %d times before the watch had passed it", n)
+	}
+	w.ledger.Revision += 5
+	w.run(300 * time.Millisecond)
+	if n := w.starts(work.TaskName{Job: "j1"}); n != 1 {
+		t.Fatalf("the job was started %d times, want 1", n)
+	}
+}
+
+// Guards against a run that begins late beside its repetition: an unanswered
+// start is ruled out by a stop before the task starts again.
+func TestUnansweredStartIsRuledOut(t *testing.T) {
+	w := newWorld(t, "a")
+	w.run(200 * time.Millisecond)
+	w.accept(job("j1", step(1)))
+	w.own()
+	tick := engine.Tick{Now: w.now}
+	for _, system := range Systems {
+		system.Run(w.s, tick)
+	}
+	orders := drained[StartOrder](&w.s.Out.Starts)
+	if len(orders) != 1 {
+		t.Fatalf("%d starts, want 1", len(orders))
+	}
+	w.s.Started(tick, orders[0], StartUnanswered, 0, 0, nil)
+	w.run(time.Second)
+	if answer := w.start(orders[0]); answer != StartOld {
+		t.Errorf("the late start was answered %v, want %v", answer, StartOld)
+	}
+	w.run(2 * time.Second)
+	if saved := w.saved["j1"]; saved == nil || saved.State != work.JobCompleted {
+		t.Errorf("saved progress is %+v, want completed", saved)
+	}
+}
+
+// Guards against a task that fails more often than its queue allows, and
+// against a failure that is counted twice after a change of the owner.
+func TestJobFailsAtTheLimit(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.workers["a"].fails, w.workers["b"].fails = true, true
+	w.run(200 * time.Millisecond)
+	w.accept(job("j1", step(1)))
+	w.run(4 * time.Second)
+	if saved := w.saved["j1"]; saved == nil || saved.State != work.JobFailed {
+		t.Fatalf("saved progress is %+v, want failed", saved)
+	}
+	if n := w.starts(work.TaskName{Job: "j1"}); n != 2 {
+		t.Errorf("the task was started %d times, want 2", n)
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -20,6 +20,12 @@
 	if !owned || !s.Pools.Get(poolID).Loaded {
 		return
 	}
+	if l.Created > s.Ledger.Revision {
+		// This process accepted the job itself. Until the watch has passed its
+		// acceptance, the pool may have another owner who runs it already.
+		s.early = append(s.early, row)
+		return
+	}
 	id, known := s.jobByID.Get(l.ID)
 	if !known {
 		if l.Progress != nil && l.Progress.State.Final() {
@@ -161,6 +167,10 @@
 		t.State = TaskDropped
 		return
 	}
+	if stage.Open > 0 {
+		t.State = TaskBlocked
+		return
+	}
 	t.State, t.ReadySince = TaskReady, now
 	stage.Ready++
 	p := s.Pools.Get(j.Pool)
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -60,7 +60,10 @@
 		for _, run := range w.runs {
 			s.Runs.Delete(run)
 		}
-		*w = Worker{Worker: w.Worker, Listed: w.Listed, GoneAt: w.GoneAt, revision: w.revision, maintenance: w.maintenance}
+		*w = Worker{
+			Worker: w.Worker, Listed: w.Listed, GoneAt: w.GoneAt, revision: w.revision, maintenance: w.maintenance,
+			acking: map[int64]struct{}{},
+		}
 		if !w.Listed {
 			s.workerByID.Delete(w.ID)
 			s.Workers.Delete(workerID)
@@ -96,7 +99,8 @@
 // loadJobs fills the tables of a pool once the ledger has caught up with the
 // start of the ownership, and follows changes afterwards.
 func loadJobs(s *State, tick engine.Tick) {
-	changed := s.Ledger.TakeChanged()
+	changed := append(s.Ledger.TakeChanged(), s.early...)
+	s.early = nil
 	for id, p := range s.Pools.All() {
 		if p.Loaded || !s.Ledger.Synced || s.Ledger.Revision < p.Token {
 			continue
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -17,6 +17,9 @@
 	// hangAfter is how long a run may show no progress. The lists show whole
 	// percents, which a run of the longest kind passes every 60 ms.
 	hangAfter = 1800 * time.Millisecond
+	// heardFor is the longest age of a list that proves a run to be at work: a
+	// look's wait and the time of a slow answer.
+	heardFor = lookWait + 500*time.Millisecond
 	// fullPace is the speed of a run that nobody paced.
 	fullPace = 100
 	// atWork is the percent that a lasting task shows while it serves.
@@ -289,7 +292,7 @@
 			}
 			stage, _, step := s.step(t)
 			switch {
-			case step.Lasting && s.mayTakeAway(stage, step, run.Task):
+			case step.Lasting && s.mayTakeAway(tick.Now, stage, step, run.Task):
 				run.stopAsked = true
 			case step.Checkpointing && t.Checkpoint != "" && !step.Gang:
 				run.stopAsked = true
@@ -300,7 +303,7 @@
 
 // mayTakeAway reports whether one more task of a lasting step may be
 // unavailable.
-func (s *State) mayTakeAway(stage *Stage, step *work.Step, except table.ID) bool {
+func (s *State) mayTakeAway(now time.Time, stage *Stage, step *work.Step, except table.ID) bool {
 	if step.MaxUnavailable == 0 {
 		return true
 	}
@@ -310,7 +313,7 @@
 			continue
 		}
 		run := s.Runs.Get(s.Tasks.Get(taskID).Run)
-		if run == nil || run.State != RunConfirmed || run.stopAsked || run.percent < atWork {
+		if run == nil || run.State != RunConfirmed || run.stopAsked || run.percent < atWork || !s.heard(now, run.Worker) {
 			away++
 		}
 	}
@@ -332,3 +335,10 @@
 	}
 	return true
 }
+
+// heard reports whether the worker's last list is recent enough to tell what
+// is at work there.
+func (s *State) heard(now time.Time, worker table.ID) bool {
+	w := s.Workers.Get(worker)
+	return w.failedLook == 0 && now.Sub(w.lookedAt) < heardFor
+}
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -304,6 +304,7 @@
 	contactsSeen map[string]ledger.Seen
 	writes       map[uint64]writeTarget
 	due          table.Heap[time.Time] // stages that wait for their time
+	early        []table.ID // rows of the ledger whose acceptance the watch has not passed
 	ended        []table.ID // jobs whose rows may be removed
 	images       map[string]*imageStats
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -176,8 +176,12 @@
 		}
 		order := LookOrder{Target: s.target(id, w, p), Acknowledged: w.acknowledged()}
 		if w.fenced && !w.clockAt.IsZero() {
-			order.LeaseUntil = w.clockNow(tick.Now) + s.Config.MaxLease
-			w.leaseUntil = max(w.leaseUntil, order.LeaseUntil)
+			// A worker that does not answer gets no longer lease, so that its
+			// runs can be given up once the last one has lapsed.
+			if w.failedLook == 0 {
+				order.LeaseUntil = w.clockNow(tick.Now) + s.Config.MaxLease
+				w.leaseUntil = max(w.leaseUntil, order.LeaseUntil)
+			}
 			order.Wait = idleLookWait
 			if len(w.runs) > 0 {
 				order.Wait = lookWait
@@ -304,7 +308,9 @@
 		stage, j, step := s.step(t)
 		run.Size = step.Reserved()
 		t.LastRun = max(t.LastRun, status.Run)
-		if kept = t.Run == 0 && t.State != TaskDone && j.Final == 0 && stage.Open == 0; kept {
+		// The stages before it may still look open: their ends wait in the
+		// lists of other workers.
+		if kept = t.Run == 0 && t.State != TaskDone && j.Final == 0; kept {
 			run.Task = taskID
 			if t.State == TaskReady {
 				stage.Ready--
--- /dev/null
+++ b/dispatch/world_test.go
@@ -0,0 +1,254 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// worldStart is the fake clock's start.
+var worldStart = time.Unix(1000, 0)
+
+const (
+	worldStep     = 10 * time.Millisecond
+	worldMaxLease = 6 * time.Second
+)
+
+// fakeRun is a run on a fake worker.
+type fakeRun struct {
+	task work.TaskName
+	run  int
+	done time.Time // zero: never ends
+}
+
+// fakeWorker carries out orders like a worker of the platform.
+type fakeWorker struct {
+	work.Worker
+	clockOffset time.Duration
+	silent      bool // answers nothing and carries out nothing
+	token       int64
+	leaseUntil  time.Duration
+	running     []fakeRun
+	ended       []work.RunEnd
+	lastEnd     int64
+	stopped     map[work.TaskName]int
+	started     []work.TaskName // all accepted starts
+	fails       bool            // runs end failed
+}
+
+// world joins the decisions of one owner with fake workers and a store that
+// answers at once.
+type world struct {
+	t       *testing.T
+	s       *State
+	ledger  *ledger.Ledger
+	now     time.Time
+	seq     uint64
+	lastID  uint64
+	workers map[string]*fakeWorker
+	token   int64
+	runTime time.Duration
+	saved   map[string]*work.Progress
+	hold    bool // the store answers no write
+}
+
+func newWorld(t *testing.T, workers ...string) *world {
+	w := &world{t: t, now: worldStart, ledger: &ledger.Ledger{}, workers: map[string]*fakeWorker{}, runTime: 300 * time.Millisecond, saved: map[string]*work.Progress{}}
+	nextWrite := func() uint64 { w.lastID++; return w.lastID }
+	w.s = New(Config{MaxLease: worldMaxLease, OwnerLease: 2500 * time.Millisecond, RemoteFactor: 3}, w.ledger, nextWrite, func() time.Time { return w.now })
+	w.ledger.Synced, w.ledger.Revision = true, 10
+	w.token = 10
+	for _, id := range workers {
+		w.addWorker(id)
+	}
+	return w
+}
+
+func (w *world) addWorker(id string) *fakeWorker {
+	f := &fakeWorker{Worker: work.Worker{
+		ID: id, Born: 1, Pool: "pool", Address: id + ":1", Machine: "m-" + id, Rack: "r1-1",
+		Capacity: placement.Resources{MilliCores: 4000, MemoryMB: 4000},
+	}, clockOffset: time.Hour, stopped: map[work.TaskName]int{}}
+	w.workers[id] = f
+	w.ledger.Revision++
+	entry := f.Worker
+	w.s.WorkerSeen(w.now, &entry, w.ledger.Revision)
+	return f
+}
+
+func (f *fakeWorker) clock(now time.Time) time.Duration { return f.clockOffset + now.Sub(worldStart) }
+
+// own renews the ownership of the pool.
+func (w *world) own() { w.s.Own(w.now, "pool", w.token, 1, w.now.Add(2*time.Second)) }
+
+// accept puts a job into the ledger as the watch would show it.
+func (w *world) accept(job *work.Job) {
+	w.ledger.Revision++
+	job.Pool, job.Queue = "pool", "queue"
+	w.ledger.Apply(w.now, ledger.Seen{
+		Key: ledger.Key{Kind: ledger.KindJob, Name: job.ID}, Content: job, Revision: w.ledger.Revision, Created: w.ledger.Revision,
+	})
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(worldStep)
+		w.own()
+		w.tick()
+	}
+}
+
+func (w *world) tick() {
+	w.seq++
+	tick := engine.Tick{Now: w.now, Seq: w.seq}
+	for _, system := range Systems {
+		system.Run(w.s, tick)
+	}
+	for _, f := range w.workers {
+		f.advance(w.now)
+	}
+	w.perform(tick)
+}
+
+func (f *fakeWorker) advance(now time.Time) {
+	kept := f.running[:0]
+	for _, r := range f.running {
+		switch {
+		case f.clock(now) >= f.leaseUntil:
+			f.end(r, work.EndLapsed)
+		case !r.done.IsZero() && !now.Before(r.done) && f.fails:
+			f.end(r, work.EndFailed)
+		case !r.done.IsZero() && !now.Before(r.done):
+			f.end(r, work.EndDone)
+		default:
+			kept = append(kept, r)
+		}
+	}
+	f.running = kept
+}
+
+func (f *fakeWorker) end(r fakeRun, reason work.EndReason) {
+	f.lastEnd++
+	f.ended = append(f.ended, work.RunEnd{Number: f.lastEnd, Task: r.task, Run: r.run, Reason: reason})
+}
+
+func drained[R any](o interface{ Drain(func(R)) }) []R {
+	var rows []R
+	o.Drain(func(r R) { rows = append(rows, r) })
+	return rows
+}
+
+func (w *world) perform(tick engine.Tick) {
+	for _, o := range drained[StartOrder](&w.s.Out.Starts) {
+		answer := w.start(o)
+		w.s.Started(tick, o, answer, w.workers[o.Target.ID].clock(w.now), o.Target.Born, nil)
+	}
+	for _, o := range drained[StopOrder](&w.s.Out.Stops) {
+		f := w.workers[o.Target.ID]
+		if !f.silent {
+			f.stop(o)
+			w.s.Stopped(tick, o, true, false, f.clock(w.now))
+		}
+	}
+	for _, o := range drained[LookOrder](&w.s.Out.Looks) {
+		f := w.workers[o.Target.ID]
+		if f.silent {
+			w.s.Looked(tick, o.Target, LookFailed, 0, 0, nil, nil)
+			continue
+		}
+		w.look(tick, f, o)
+	}
+	for _, write := range drained[ledger.Write](&w.s.Out.Writes) {
+		w.store(tick, write)
+	}
+	w.s.Out.Logs.Drain(w.logged)
+	w.s.Out.Counters.Drain(func(Count) {})
+	w.s.Out.Paces.Drain(func(PaceOrder) {})
+}
+
+func (w *world) start(o StartOrder) StartAnswer {
+	f := w.workers[o.Target.ID]
+	switch {
+	case f.silent:
+		return StartUnanswered
+	case o.Target.Token < f.token:
+		return StartFenced
+	case o.LeaseUntil <= f.clock(w.now):
+		return StartLate
+	case o.Number <= f.stopped[o.Task]:
+		return StartOld
+	}
+	f.token, f.leaseUntil = o.Target.Token, max(f.leaseUntil, o.LeaseUntil)
+	r := fakeRun{task: o.Task, run: o.Number}
+	if w.runTime > 0 {
+		r.done = w.now.Add(w.runTime)
+	}
+	f.running = append(f.running, r)
+	f.started = append(f.started, o.Task)
+	return StartAccepted
+}
+
+func (f *fakeWorker) stop(o StopOrder) {
+	f.stopped[o.Task] = max(f.stopped[o.Task], o.Number)
+	for i, r := range f.running {
+		if r.task == o.Task && r.run == o.Number {
+			f.end(r, work.EndStopped)
+			f.running = slices.Delete(f.running, i, i+1)
+			return
+		}
+	}
+}
+
+func (w *world) look(tick engine.Tick, f *fakeWorker, o LookOrder) {
+	if o.Target.Token < f.token {
+		w.s.Looked(tick, o.Target, LookFenced, f.clock(w.now), f.Born, nil, nil)
+		return
+	}
+	f.token, f.leaseUntil = o.Target.Token, max(f.leaseUntil, o.LeaseUntil)
+	f.ended = slices.DeleteFunc(f.ended, func(e work.RunEnd) bool { return e.Number <= o.Acknowledged })
+	var running []work.RunStatus
+	for _, r := range f.running {
+		running = append(running, work.RunStatus{Task: r.task, Run: r.run, Percent: atWork})
+	}
+	w.s.Looked(tick, o.Target, LookListed, f.clock(w.now), f.Born, running, slices.Clone(f.ended))
+}
+
+func (w *world) store(tick engine.Tick, write ledger.Write) {
+	if w.hold {
+		return
+	}
+	w.ledger.Revision++
+	for _, put := range write.Put {
+		if progress, ok := put.Content.(*work.Progress); ok {
+			w.saved[put.Key.Name] = progress
+		}
+	}
+	w.s.WriteDone(tick, ledger.WriteResult{ID: write.ID, Outcome: ledger.Applied, Revision: w.ledger.Revision})
+}
+
+func job(id string, steps ...work.Step) *work.Job {
+	return &work.Job{ID: id, Payload: "payload", Steps: steps, Limits: work.Limits{MaxFailures: 2, SlowdownFactor: 2, Latency: time.Second}}
+}
+
+func step(count int) work.Step {
+	return work.Step{Count: count, Size: placement.Resources{MilliCores: 500, MemoryMB: 100}, Estimate: 300 * time.Millisecond}
+}
+
+// starts counts the accepted starts of a task on all workers.
+func (w *world) starts(task work.TaskName) int {
+	n := 0
+	for _, f := range w.workers {
+		for _, started := range f.started {
+			if started == task {
+				n++
+			}
+		}
+	}
+	return n
+}
