Count leases of earlier owners, and settle tasks whose run was found

Runs now get a lease of 5 s instead of the platform's longest, since a longer one only delays the repetition of work on lost workers.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -211,3 +211,47 @@
 		t.Errorf("the task was started %d times, want 2", n)
 	}
 }
+
+// Guards against two runs of a task: the lease of a run that a new owner finds
+// was granted by the earlier owner, and must not look lapsed.
+func TestFoundRunKeepsItsLease(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.accept(job("j1", step(2)))
+	w.ledger.Revision++
+	w.token = w.ledger.Revision
+	f := w.workers["a"]
+	f.running = []fakeRun{{task: work.TaskName{Job: "j1"}, run: 1, done: w.now.Add(2 * time.Second)}}
+	f.leaseUntil = f.clock(w.now) + worldMaxLease
+	// An end that waits to be saved delays the next look.
+	f.ended = []work.RunEnd{{Number: 1, Task: work.TaskName{Job: "j1", Index: 1}, Run: 1, Reason: work.EndDone}}
+	w.run(time.Second)
+	if n := w.starts(work.TaskName{Job: "j1"}); n != 0 {
+		t.Errorf("the task was started %d times while the earlier owner's run may go on", n)
+	}
+}
+
+// Guards against a lasting task that stays away for as long as some worker of
+// an earlier owner is silent, although its own run was found and ended.
+func TestFoundTaskNeedNotWaitForSilentWorkers(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.runTime = 0
+	lasting := step(1)
+	lasting.Lasting = true
+	w.accept(job("j1", lasting))
+	w.s.ContactsSeen(ledger.Seen{
+		Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
+		Content: []work.Contact{{Worker: "a", Address: "a:1", Born: 1}, {Worker: "c", Address: "c:1", Born: 1}},
+	})
+	w.ledger.Revision++
+	w.token = w.ledger.Revision
+	f := w.workers["a"]
+	w.workers["c"].silent = true
+	f.running = []fakeRun{{task: work.TaskName{Job: "j1"}, run: 1}}
+	f.leaseUntil = f.clock(w.now) + worldMaxLease
+	w.run(300 * time.Millisecond)
+	w.s.SetMaintenance("a", true)
+	w.run(time.Second)
+	if n := w.starts(work.TaskName{Job: "j1"}); n != 1 {
+		t.Errorf("the task was started %d times, want 1", n)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -173,7 +173,7 @@
 	stage := s.Stages.Get(stageID)
 	p := s.Pools.Get(poolID)
 	j := s.Jobs.Get(stage.Job)
-	if stage.Ready == 0 || (j.Created <= p.Token && !p.Settled) {
+	if stage.Ready == 0 {
 		return
 	}
 	step := &j.Spec.Steps[stage.Step]
@@ -186,7 +186,7 @@
 	}
 	for _, taskID := range stage.Tasks {
 		t := s.Tasks.Get(taskID)
-		if t.State != TaskReady || tick.Now.Before(t.NotBefore) {
+		if t.State != TaskReady || tick.Now.Before(t.NotBefore) || s.mayRunElsewhere(p, j, t) {
 			continue
 		}
 		best := s.choose(tick, stage, j, step, t, candidates, "")
@@ -200,6 +200,12 @@
 	}
 }
 
+// mayRunElsewhere reports whether an earlier owner may have started the task
+// on a worker that has not answered yet.
+func (s *State) mayRunElsewhere(p *Pool, j *Job, t *Task) bool {
+	return j.Created <= p.Token && !p.Settled && !t.settled
+}
+
 // choose returns the best candidate for a task, or -1.
 func (s *State) choose(tick engine.Tick, stage *Stage, j *Job, step *work.Step, t *Task, candidates []candidate, rack string) int {
 	best, bestScore := -1, 0.0
@@ -263,6 +269,11 @@
 		return // earlier members have not ended yet
 	}
 	j := s.Jobs.Get(stage.Job)
+	for _, taskID := range stage.Tasks {
+		if s.mayRunElsewhere(s.Pools.Get(poolID), j, s.Tasks.Get(taskID)) {
+			return
+		}
+	}
 	step := &j.Spec.Steps[stage.Step]
 	racks := []string{""}
 	if step.SameRack {
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -126,6 +126,7 @@
 	Avoid      table.ID // worker of the last failure
 	NotBefore  time.Time
 	ReadySince time.Time
+	settled    bool // its run of an earlier owner was found
 }
 
 // RunState is the state of a run.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -258,6 +258,8 @@
 	p := s.Pools.Get(w.pool)
 	if !w.fenced {
 		w.fenced, p.place = true, true
+		// An earlier owner may have renewed the leases just before.
+		w.leaseUntil = max(w.leaseUntil, clock+s.Config.MaxLease)
 	}
 	w.readClock(tick.Now, clock)
 	w.lookedAt, w.failedLook = tick.Now, 0
@@ -322,7 +324,8 @@
 	run.stopAsked = !kept
 	id := s.Runs.Insert(run)
 	if kept {
-		s.Tasks.Get(taskID).Run = id
+		t := s.Tasks.Get(taskID)
+		t.Run, t.settled = id, true
 		s.begin(tick.Now, taskID)
 	}
 	w := s.Workers.Get(worker)
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -40,6 +40,11 @@
 // before the duties are released: the next owner asks the workers anyway.
 const releaseAfter = 600 * time.Millisecond
 
+// runLease is the lease of everything that runs. It outlasts the change of an
+// owner and a store outage of a few seconds; a longer one only delays the
+// repetition of what ran on a lost worker.
+const runLease = 5 * time.Second
+
 // systems lists what runs in each tick, in this order.
 func systems() []engine.System[State] {
 	return slices.Concat(
@@ -60,7 +65,7 @@
 	nextWrite := func() uint64 { s.lastWrite++; return s.lastWrite }
 	s.Ownership.Node, s.Ownership.Incarnation, s.Ownership.NextWrite = settings.Node, incarnation, nextWrite
 	s.Dispatch = dispatch.New(dispatch.Config{
-		MaxLease: settings.Bounds.MaxLease, StopTime: settings.Bounds.StopTime, OwnerLease: ownership.LeaseTTL,
+		MaxLease: min(settings.Bounds.MaxLease, runLease), StopTime: settings.Bounds.StopTime, OwnerLease: ownership.LeaseTTL,
 		Notice: settings.Bounds.Notice, RemoteFactor: settings.Bounds.RemoteFactor,
 	}, &s.Ledger, nextWrite, timeOfDay)
 	s.Intake = intake.New(&s.Ledger, nextWrite)
