--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -55,6 +55,8 @@
 	runTime time.Duration
 	saved   map[string]*work.Progress
 	hold    bool // the store answers no write
+	// holdProgress lets the store answer no write of progress.
+	holdProgress bool
 }
 
 func newWorld(t *testing.T, workers ...string) *world {
@@ -220,7 +222,7 @@
 }
 
 func (w *world) store(tick engine.Tick, write ledger.Write) {
-	if w.hold {
+	if w.hold || (w.holdProgress && write.Put[0].Key.Kind == ledger.KindProgress) {
 		return
 	}
 	w.ledger.Revision++
