Move machines to the pools that need them

Cause: each queue's turn asks for about twice what its pool holds while the other pools idle, so a third of the jobs were late or not done in time. Owners report need and spare workers, the fleet's owner moves machines through durable orders like those of a wave.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -434,6 +434,10 @@
 	if p == nil {
 		return true
 	}
+	if target.demand {
+		p.demandWrite = 0
+		return true
+	}
 	if target.jobs == nil {
 		s.contactsSaved(tick.Now, p, target, result)
 		return true
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -92,4 +92,3 @@
 		run.pace = order.Percent
 	}
 }
-
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -83,7 +83,9 @@
 }
 
 // ordering reports whether orders for the pool may leave now.
-func (s *State) ordering(p *Pool, now time.Time) bool { return p != nil && p.Loaded && now.Before(p.Until) }
+func (s *State) ordering(p *Pool, now time.Time) bool {
+	return p != nil && p.Loaded && now.Before(p.Until)
+}
 
 // ContactsSeen records the saved contacts of a pool.
 func (s *State) ContactsSeen(seen ledger.Seen) {
--- a/dispatch/systems.go
+++ b/dispatch/systems.go
@@ -15,6 +15,7 @@
 	{Name: "stop runs", Run: stopRuns},
 	{Name: "pace fillers", Run: paceFillers},
 	{Name: "look at workers", Run: lookAtWorkers},
+	{Name: "report demand", Run: reportDemand},
 	{Name: "save contacts", Run: saveContacts},
 	{Name: "save progress", Run: saveProgress},
 	{Name: "retire jobs", Run: retireJobs},
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -40,7 +40,13 @@
 	ready            []table.ID // stages with ready tasks, in the order of placement
 	unordered        bool       // ready needs sorting
 	sortedAt         time.Time
-	place            bool       // something changed since the last placement
+	demand           work.Demand // last report
+	demandAt         time.Time
+	demandWrite      uint64
+	need             int // highest of the present window
+	lastNeed         int // of the window before
+	needAt           time.Time
+	place            bool // something changed since the last placement
 }
 
 // Job is an accepted job of an owned pool.
@@ -62,7 +68,7 @@
 	dirty       bool
 	urgent      bool // a final state waits to be saved
 	saving      uint64
-	saved       bool      // the final state is durable
+	saved       bool // the final state is durable
 	ends        []pendingEnd
 	savingEnds  []pendingEnd
 	savingState *work.Progress
@@ -305,8 +311,8 @@
 	contactsSeen map[string]ledger.Seen
 	writes       map[uint64]writeTarget
 	due          table.Heap[time.Time] // stages that wait for their time
-	early        []table.ID // rows of the ledger whose acceptance the watch has not passed
-	ended        []table.ID // jobs whose rows may be removed
+	early        []table.ID            // rows of the ledger whose acceptance the watch has not passed
+	ended        []table.ID            // jobs whose rows may be removed
 	images       map[string]*imageStats
 }
 
@@ -315,6 +321,7 @@
 	pool     table.ID
 	jobs     []table.ID
 	contacts []work.Contact
+	demand   bool
 }
 
 // New returns an empty state.
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -11,9 +11,9 @@
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/intake"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/machines"
 	"github.com/waxwingbridge/waxwingbridge/ownership"
 	"github.com/waxwingbridge/waxwingbridge/platform"
-	"github.com/waxwingbridge/waxwingbridge/upkeep"
 )
 
 // flush hands the effects of a tick to goroutines and publishes what traffic
@@ -23,7 +23,7 @@
 	s.Intake.Writes.Drain(p.write(s))
 	s.Ownership.Writes.Drain(p.write(s))
 	s.Dispatch.Out.Writes.Drain(p.write(s))
-	s.Upkeep.Writes.Drain(p.write(s))
+	s.Machines.Writes.Drain(p.write(s))
 	s.Ownership.LeaseCalls.Drain(func(c ownership.LeaseCall) { p.perform(func(ctx context.Context) event { return p.callLease(ctx, c) }) })
 	s.Intake.Lookups.Drain(func(l intake.Lookup) { p.perform(func(ctx context.Context) event { return p.lookup(ctx, l) }) })
 	out := &s.Dispatch.Out
@@ -32,10 +32,10 @@
 	out.Paces.Drain(func(o dispatch.PaceOrder) { p.perform(func(ctx context.Context) event { return p.pace(ctx, o) }) })
 	out.Looks.Drain(func(o dispatch.LookOrder) { p.perform(func(ctx context.Context) event { return p.look(ctx, o) }) })
 	out.Advice.Drain(func(q dispatch.AdviceQuestion) { p.perform(func(ctx context.Context) event { return p.ask(ctx, q) }) })
-	s.Upkeep.Lists.Drain(func(struct{}) { p.perform(p.listMachines) })
-	s.Upkeep.Calls.Drain(func(c upkeep.MachineCall) { p.perform(func(ctx context.Context) event { return p.maintain(ctx, c) }) })
+	s.Machines.Lists.Drain(func(struct{}) { p.perform(p.listMachines) })
+	s.Machines.Calls.Drain(func(c machines.MachineCall) { p.perform(func(ctx context.Context) event { return p.maintain(ctx, c) }) })
 
-	for _, logs := range []interface{ Drain(func(events.Record)) }{&s.Logs, &s.Intake.Logs, &out.Logs, &s.Upkeep.Logs} {
+	for _, logs := range []interface{ Drain(func(events.Record)) }{&s.Logs, &s.Intake.Logs, &out.Logs, &s.Machines.Logs} {
 		logs.Drain(p.log.Write)
 	}
 	out.Counters.Drain(func(c dispatch.Count) { p.counters.add(c.Name, c.Delta) })
@@ -156,7 +156,9 @@
 	return result
 }
 
-func ref(t dispatch.Target) platform.WorkerRef { return platform.WorkerRef{ID: t.ID, Address: t.Address} }
+func ref(t dispatch.Target) platform.WorkerRef {
+	return platform.WorkerRef{ID: t.ID, Address: t.Address}
+}
 
 var startAnswers = map[platform.OrderResult]dispatch.StartAnswer{
 	platform.OrderDone: dispatch.StartAccepted, platform.OrderFenced: dispatch.StartFenced, platform.OrderOld: dispatch.StartOld,
@@ -227,18 +229,25 @@
 	return machinesListed{machines: machines, err: err}
 }
 
-func (p *Process) maintain(ctx context.Context, c upkeep.MachineCall) event {
-	answer := machineCalled{call: c, result: upkeep.CallRepeat, reason: "not-sent"}
+func (p *Process) maintain(ctx context.Context, c machines.MachineCall) event {
+	answer := machineCalled{call: c, result: machines.CallRepeat, reason: "not-sent"}
 	if !inTime(c.NotAfter) {
 		return answer
 	}
-	result, err := p.machines.Maintain(ctx, platform.Holder{Name: p.settings.Node, Token: c.Token}, c.Machine, c.Wave)
+	by := platform.Holder{Name: p.settings.Node, Token: c.Token}
+	var result platform.MachineResult
+	var err error
+	if c.Target != "" {
+		result, err = p.machines.Move(ctx, by, c.Machine, c.Target)
+	} else {
+		result, err = p.machines.Maintain(ctx, by, c.Machine, c.Wave)
+	}
 	answer.err, answer.reason = err, result.String()
 	switch result {
 	case platform.MachineAccepted:
-		answer.result = upkeep.CallAccepted
+		answer.result = machines.CallAccepted
 	case platform.MachineNotInWave, platform.MachineRefused:
-		answer.result = upkeep.CallNotInWave
+		answer.result = machines.CallRefused
 	}
 	return answer
 }
--- a/entry/events.go
+++ b/entry/events.go
@@ -8,9 +8,9 @@
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/intake"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/machines"
 	"github.com/waxwingbridge/waxwingbridge/ownership"
 	"github.com/waxwingbridge/waxwingbridge/platform"
-	"github.com/waxwingbridge/waxwingbridge/upkeep"
 	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
@@ -47,7 +47,7 @@
 
 func (e wrote) apply(s *State, tick engine.Tick) {
 	_ = s.Intake.WriteDone(tick, e.result) || s.Dispatch.WriteDone(tick, e.result) ||
-		s.Ownership.WriteDone(tick.Now, e.result) || s.Upkeep.WriteDone(tick, e.result)
+		s.Ownership.WriteDone(tick.Now, e.result) || s.Machines.WriteDone(tick, e.result)
 }
 
 // leaseAnswered carries the answer to a call about the store lease.
@@ -142,18 +142,18 @@
 	err      error
 }
 
-func (e machinesListed) apply(s *State, tick engine.Tick) { s.Upkeep.Listed(tick, e.machines, e.err) }
+func (e machinesListed) apply(s *State, tick engine.Tick) { s.Machines.Listed(tick, e.machines, e.err) }
 
 // machineCalled carries the answer to an order for a machine.
 type machineCalled struct {
-	call   upkeep.MachineCall
-	result upkeep.CallResult
+	call   machines.MachineCall
+	result machines.CallResult
 	reason string
 	err    error
 }
 
 func (e machineCalled) apply(s *State, tick engine.Tick) {
-	s.Upkeep.Called(tick, e.call, e.result, e.reason, e.err)
+	s.Machines.Called(tick, e.call, e.result, e.reason, e.err)
 }
 
 // stopRequested begins a planned stop.
--- a/entry/records.go
+++ b/entry/records.go
@@ -18,6 +18,7 @@
 var folders = map[ledger.Kind]string{
 	ledger.KindJob: "job", ledger.KindProgress: "progress", ledger.KindCancel: "cancel", ledger.KindOwner: "owner",
 	ledger.KindEpoch: "epoch", ledger.KindPeer: "peer", ledger.KindContacts: "contacts", ledger.KindMachineOrder: "machine",
+	ledger.KindMachineMove: "move", ledger.KindDemand: "demand",
 }
 
 func storeKey(key ledger.Key) string {
@@ -138,7 +139,9 @@
 		return progress, nil
 	case ledger.KindOwner, ledger.KindEpoch, ledger.KindPeer:
 		return decodeAs[work.Ownership](value)
-	case ledger.KindMachineOrder:
+	case ledger.KindDemand:
+		return decodeAs[work.Demand](value)
+	case ledger.KindMachineOrder, ledger.KindMachineMove:
 		return decodeAs[work.MachineOrder](value)
 	case ledger.KindContacts:
 		var contacts []work.Contact
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -10,10 +10,10 @@
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/intake"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/machines"
 	"github.com/waxwingbridge/waxwingbridge/ownership"
 	"github.com/waxwingbridge/waxwingbridge/platform"
 	"github.com/waxwingbridge/waxwingbridge/table"
-	"github.com/waxwingbridge/waxwingbridge/upkeep"
 	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
@@ -23,7 +23,7 @@
 	Ownership ownership.State
 	Dispatch  *dispatch.State
 	Intake    *intake.State
-	Upkeep    upkeep.State
+	Machines  machines.State
 
 	Manifest *work.Manifest
 	Logs     table.Outbound[events.Record]
@@ -55,7 +55,7 @@
 			{Name: "mark machines under maintenance", Run: markMaintenance},
 		},
 		engine.Lift(func(s *State) *dispatch.State { return s.Dispatch }, dispatch.Systems),
-		engine.Lift(func(s *State) *upkeep.State { return &s.Upkeep }, upkeep.Systems),
+		engine.Lift(func(s *State) *machines.State { return &s.Machines }, machines.Systems),
 		[]engine.System[State]{{Name: "release duties at a planned stop", Run: releaseDuties}},
 	)
 }
@@ -69,13 +69,21 @@
 		Notice: settings.Bounds.Notice, RemoteFactor: settings.Bounds.RemoteFactor,
 	}, &s.Ledger, nextWrite, timeOfDay)
 	s.Intake = intake.New(&s.Ledger, nextWrite)
-	s.Upkeep.OrderTurn, s.Upkeep.MachineReturn, s.Upkeep.NextWrite = settings.Bounds.OrderTurn, settings.Bounds.MachineReturn, nextWrite
-	s.Upkeep.Idle = s.Dispatch.Idle
-	s.Upkeep.PoolToken = func(pool string, now time.Time) (int64, bool) {
+	s.Machines.OrderTurn, s.Machines.MachineReturn, s.Machines.NextWrite = settings.Bounds.OrderTurn, settings.Bounds.MachineReturn, nextWrite
+	s.Machines.Idle = s.Dispatch.Idle
+	s.Machines.PoolToken = func(pool string, now time.Time) (int64, bool) {
 		token, _, owned := s.Ownership.Token(poolDuty(pool), now)
 		return token, owned
 	}
-	s.Upkeep.Standby = func(pool string) bool {
+	s.Machines.StandbyPool = func() string {
+		for i := range s.Manifest.Pools {
+			if s.Manifest.Pools[i].Standby {
+				return s.Manifest.Pools[i].Name
+			}
+		}
+		return ""
+	}
+	s.Machines.Standby = func(pool string) bool {
 		p := s.Manifest.Pool(pool)
 		return p != nil && p.Standby
 	}
@@ -107,17 +115,17 @@
 			s.Dispatch.Own(tick.Now, name, token, epoch, s.Ownership.ValidUntil)
 		}
 	}
-	token, _, owned := s.Ownership.Token(upkeep.Duty, tick.Now)
+	token, _, owned := s.Ownership.Token(machines.Duty, tick.Now)
 	if owned && token != s.fleetToken {
 		s.fleetToken, s.fleetSince = token, tick.Now
 	}
-	s.Upkeep.Role = upkeep.Role{Fleet: owned && s.stopping.IsZero(), FleetToken: token, FleetSince: s.fleetSince, Until: s.Ownership.ValidUntil}
+	s.Machines.Role = machines.Role{Fleet: owned && s.stopping.IsZero(), FleetToken: token, FleetSince: s.fleetSince, Until: s.Ownership.ValidUntil}
 }
 
 // markMaintenance keeps new work off machines that are taken out.
 func markMaintenance(s *State, _ engine.Tick) {
 	var now []string
-	for worker := range s.Upkeep.Maintained {
+	for worker := range s.Machines.Maintained {
 		now = append(now, worker)
 		s.Dispatch.SetMaintenance(worker, true)
 	}
@@ -155,11 +163,11 @@
 		}
 	case platform.EntryWave:
 		if e.Wave != nil {
-			s.Upkeep.WaveSeen(tick.Now, *e.Wave)
+			s.Machines.WaveSeen(tick.Now, *e.Wave)
 		}
 	case platform.EntryWaveStatus:
 		if number, err := strconv.Atoi(e.Name); err == nil && !e.Deleted {
-			s.Upkeep.StatusSeen(tick.Now, number, e.Completed)
+			s.Machines.StatusSeen(tick.Now, number, e.Completed)
 		}
 	case platform.EntryRecord:
 		seen, err := seenRecord(e.Name, e.Record, e.Revision, e.Created, e.Deleted)
@@ -177,8 +185,10 @@
 		s.Ownership.Apply(tick.Now, seen)
 	case ledger.KindContacts:
 		s.Dispatch.ContactsSeen(seen)
-	case ledger.KindMachineOrder:
-		s.Upkeep.OrderSeen(seen)
+	case ledger.KindMachineOrder, ledger.KindMachineMove:
+		s.Machines.OrderSeen(seen)
+	case ledger.KindDemand:
+		s.Machines.DemandSeen(tick.Now, seen)
 	default:
 		s.Ledger.Apply(tick.Now, seen)
 	}
@@ -191,7 +201,7 @@
 		return
 	}
 	s.Manifest = m
-	duties := []string{upkeep.Duty}
+	duties := []string{machines.Duty}
 	for i := range m.Pools {
 		if !m.Pools[i].Standby {
 			duties = append(duties, poolDuty(m.Pools[i].Name))
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -123,6 +123,8 @@
 	UpkeepWaveDone      = Event{854, log.InfoLevel, "every machine of a wave had its maintenance"}
 	MachinesUnavailable = Event{855, log.WarnLevel, "machines could not be listed"}
 	UpkeepNotSaved      = Event{856, log.WarnLevel, "state of a maintenance could not be saved"}
+	MachineMovePlanned  = Event{857, log.InfoLevel, "move of a machine was planned"}
+	MachineMoveOrdered  = Event{858, log.InfoLevel, "move of a machine was ordered"}
 	ManifestInForce     = Event{860, log.InfoLevel, "manifest is in force"}
 	EntryInvalid        = Event{861, log.WarnLevel, "store entry cannot be decoded"}
 	LeaseCallFailed     = Event{862, log.WarnLevel, "call about the store lease failed"}
@@ -151,6 +153,6 @@
 		WorkerDraining, WorkerGone, WorkerLifeEnded, WorkerLapsed, OrderFenced, WorkerUnfit,
 		WorkerUnfitCapped, UpkeepWaveSeen, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, UpkeepWaveDone,
 		MachinesUnavailable, UpkeepNotSaved, ManifestInForce, EntryInvalid, LeaseCallFailed, SettingsReloaded,
-		LogsDropped, WorkerUnreachable,
+		LogsDropped, WorkerUnreachable, MachineMovePlanned, MachineMoveOrdered,
 	}
 }
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -17,7 +17,9 @@
 	KindEpoch                        // *work.Ownership, by duty: the last owner, kept without lease
 	KindPeer                         // *work.Ownership, by node; leased
 	KindContacts                     // []work.Contact, by pool
-	KindMachineOrder                 // *work.MachineOrder, by machine
+	KindMachineOrder                 // *work.MachineOrder for a wave, by machine
+	KindMachineMove                  // *work.MachineOrder for a move, by machine
+	KindDemand                       // *work.Demand, by pool
 	KindWaveStatus                   // bool: completed, by wave number
 )
 
--- a/upkeep/upkeep.go
+++ b/machines/waves.go
@@ -1,11 +1,12 @@
-// Package upkeep carries out the operator's maintenance waves. The owner of
-// the fleet's machines chooses machines and gives the orders; the owner of a
-// machine's pool takes the work off it first. Both work on durable orders, one
-// a machine, so that either may be replaced at any step.
+// Package machines carries out the operator's maintenance waves and moves
+// machines to the pools that need them. The owner of the fleet's machines
+// chooses machines and gives the orders; the owner of a machine's pool takes
+// the work off it first. Both work on durable orders, so that either may be
+// replaced at any step.
 //
 // The package does no I/O: Systems run in each tick, and writes and orders
 // leave as outbound rows.
-package upkeep
+package machines
 
 import (
 	"cmp"
@@ -70,11 +71,13 @@
 	orderedAt time.Time
 }
 
-// MachineCall is an outbound call to the machine service.
+// MachineCall is an outbound call to the machine service: a move to the target
+// pool, or the maintenance of the wave if there is no target.
 type MachineCall struct {
 	Order    table.ID
 	Machine  string
 	Wave     int
+	Target   string
 	Token    int64
 	NotAfter time.Time
 }
@@ -93,8 +96,10 @@
 	OrderTurn time.Duration
 	// MachineReturn is how long a machine is down for its maintenance.
 	MachineReturn time.Duration
-	Role      Role
-	Standby   func(pool string) bool
+	Role          Role
+	Standby       func(pool string) bool
+	// StandbyPool returns the pool whose machines are off, or "".
+	StandbyPool func() string
 	// Idle reports whether nothing runs on a worker of an owned pool.
 	Idle func(worker string, now time.Time) (idle, known bool)
 	// PoolToken returns the token of an owned pool.
@@ -109,13 +114,19 @@
 	Logs      table.Outbound[events.Record]
 	NextWrite func() uint64
 
+	Demands table.Table[Demand]
+
 	waveByNumber table.Index[int]
-	orderByName  table.Index[string]
+	orderByKey   table.Index[ledger.Key]
+	demandByPool table.Index[string]
 	machines     map[string]work.Machine
 	listedAt     time.Time // when the last list was asked for
 	listing      bool
 	nextList     time.Time
-	changes      map[string]int64 // last seen revision of an order, by machine
+	changes      map[ledger.Key]int64 // last seen revision of an order
+	planned      map[uint64]time.Time // moves that are being written
+	nextPlan     time.Time
+	refused      map[string]time.Time // machines that the service would not move
 }
 
 // Systems lists the systems in the order in which they run.
@@ -124,7 +135,10 @@
 	{Name: "list machines", Run: listMachines},
 	{Name: "follow machines", Run: followMachines},
 	{Name: "choose machines", Run: chooseMachines},
+	{Name: "plan moves", Run: planMoves},
 	{Name: "order maintenance", Run: orderMaintenance},
+	{Name: "order moves", Run: orderMoves},
+	{Name: "remove finished moves", Run: removeMoves},
 	{Name: "tell the operator", Run: tellOperator},
 }
 
@@ -159,18 +173,18 @@
 // OrderSeen records a durable order.
 func (s *State) OrderSeen(seen ledger.Seen) {
 	if s.changes == nil {
-		s.changes = map[string]int64{}
+		s.changes = map[ledger.Key]int64{}
 	}
-	if seen.Revision <= s.changes[seen.Key.Name] {
+	if seen.Revision <= s.changes[seen.Key] {
 		return
 	}
-	s.changes[seen.Key.Name] = seen.Revision
-	id, known := s.orderByName.Get(seen.Key.Name)
+	s.changes[seen.Key] = seen.Revision
+	id, known := s.orderByKey.Get(seen.Key)
 	order, _ := seen.Content.(*work.MachineOrder)
 	switch {
 	case seen.Deleted || order == nil:
 		if known {
-			s.orderByName.Delete(seen.Key.Name)
+			s.orderByKey.Delete(seen.Key)
 			s.Orders.Delete(id)
 		}
 	case known:
@@ -180,7 +194,7 @@
 			o.calling = false
 		}
 	default:
-		s.orderByName.Put(seen.Key.Name, s.Orders.Insert(Order{MachineOrder: *order, Revision: seen.Revision}))
+		s.orderByKey.Put(seen.Key, s.Orders.Insert(Order{MachineOrder: *order, Revision: seen.Revision}))
 	}
 }
 
@@ -214,7 +228,7 @@
 // save writes the next state of an order.
 func (s *State) save(id table.ID, next work.MachineOrder, fence ledger.Condition) {
 	o := s.Orders.Get(id)
-	key := ledger.Key{Kind: ledger.KindMachineOrder, Name: o.Machine}
+	key := orderKey(&o.MachineOrder)
 	write := ledger.Write{
 		ID: s.NextWrite(), Expect: []ledger.Condition{fence, {Key: key, Revision: o.Revision}},
 		Put: []ledger.Put{{Key: key, Content: &next}},
@@ -223,6 +237,23 @@
 	s.Writes.Add(write)
 }
 
+func orderKey(o *work.MachineOrder) ledger.Key {
+	if o.Target != "" {
+		return ledger.Key{Kind: ledger.KindMachineMove, Name: o.Machine}
+	}
+	return ledger.Key{Kind: ledger.KindMachineOrder, Name: o.Machine}
+}
+
+// ordered reports whether a machine is under an order that is not finished.
+func (s *State) ordered(machine string) bool {
+	for _, kind := range []ledger.Kind{ledger.KindMachineOrder, ledger.KindMachineMove} {
+		if id, ok := s.orderByKey.Get(ledger.Key{Kind: kind, Name: machine}); ok && s.Orders.Get(id).State != work.MachineDone {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) fence() ledger.Condition {
 	return ledger.Condition{Key: ledger.Key{Kind: ledger.KindOwner, Name: Duty}, Revision: s.Role.FleetToken}
 }
@@ -239,7 +270,7 @@
 }
 
 func listMachines(s *State, tick engine.Tick) {
-	if !s.commands(tick.Now) || !s.open() || s.listing || tick.Now.Before(s.nextList) {
+	if !s.commands(tick.Now) || (!s.open() && !s.moving(tick.Now)) || s.listing || tick.Now.Before(s.nextList) {
 		return
 	}
 	s.listing, s.nextList, s.listedAt = true, tick.Now.Add(listEvery), tick.Now
@@ -278,6 +309,8 @@
 			next.State = work.MachineDone // the machine was taken away
 		case o.State == work.MachineOrdered && m.State == work.MachineUp && s.isBack(o, m):
 			next.State = work.MachineDone
+		case o.State != work.MachineOrdered && m.State == work.MachineUp && m.Worker != o.Worker && o.Target != "":
+			next.State = work.MachineDone // a new worker began meanwhile; it stays
 		case o.State != work.MachineOrdered && m.State == work.MachineUp && m.Worker != o.Worker:
 			// The worker was replaced meanwhile; its successor must be drained.
 			next.Worker, next.Pool, next.State = m.Worker, m.Pool, s.firstState(m)
@@ -292,6 +325,9 @@
 // machine of a standby pool has no worker that would tell, so a list counts
 // only if it was asked for after the maintenance must have ended.
 func (s *State) isBack(o *Order, m work.Machine) bool {
+	if o.Target != "" {
+		return m.Pool == o.Target && s.listedAt.After(o.orderedAt)
+	}
 	if m.Worker != "" && m.Worker != o.Worker {
 		return s.listedAt.After(o.orderedAt)
 	}
@@ -319,7 +355,7 @@
 		for _, o := range s.Orders.All() {
 			if o.State != work.MachineDone {
 				out[o.Pool]++
-				if o.Wave == w.Number {
+				if o.Wave == w.Number && o.Target == "" {
 					active++
 				}
 			}
@@ -331,7 +367,7 @@
 		var chosen []work.Machine
 		for _, name := range w.Machines {
 			m, listed := s.machines[name]
-			if _, ordered := s.orderByName.Get(name); !ordered && listed && m.State == work.MachineUp {
+			if _, known := s.orderByKey.Get(ledger.Key{Kind: ledger.KindMachineOrder, Name: name}); !known && listed && m.State == work.MachineUp && !s.ordered(name) {
 				chosen = append(chosen, m)
 			}
 		}
@@ -384,7 +420,7 @@
 	for _, w := range s.Waves.All() {
 		down := 0
 		for _, o := range s.Orders.All() {
-			if o.Wave == w.Number && (o.State == work.MachineOrdered || o.calling) {
+			if o.Target == "" && o.Wave == w.Number && (o.State == work.MachineOrdered || o.calling) {
 				down++
 			}
 		}
@@ -392,7 +428,7 @@
 			if down >= w.Cap {
 				break
 			}
-			if o.Wave != w.Number || o.State != work.MachineIdle || o.calling || o.saving != 0 || tick.Now.Before(o.retryAt) {
+			if o.Target != "" || o.Wave != w.Number || o.State != work.MachineIdle || o.calling || o.saving != 0 || tick.Now.Before(o.retryAt) {
 				continue
 			}
 			o.calling = true
@@ -410,8 +446,8 @@
 // The answers to an order for a machine.
 const (
 	CallAccepted CallResult = iota + 1
-	CallNotInWave
-	CallRepeat // not accepted, or unanswered: the same order is given again
+	CallRefused             // for good: not of the wave, or not allowed in the pool
+	CallRepeat              // not accepted, or unanswered: the same order is given again
 )
 
 // Called records the answer to an order. An unanswered order is given again:
@@ -426,8 +462,12 @@
 	switch result {
 	case CallAccepted:
 		next.State = work.MachineOrdered
-	case CallNotInWave:
+	case CallRefused:
 		next.State = work.MachineDone
+		if s.refused == nil {
+			s.refused = map[string]time.Time{}
+		}
+		s.refused[call.Machine] = tick.Now
 	default:
 		o.calling, o.retryAt = false, tick.Now.Add(retryOrder)
 		return
@@ -461,7 +501,7 @@
 
 func (s *State) maintained(w *Wave) bool {
 	for _, name := range w.Machines {
-		id, ordered := s.orderByName.Get(name)
+		id, ordered := s.orderByKey.Get(ledger.Key{Kind: ledger.KindMachineOrder, Name: name})
 		_, listed := s.machines[name]
 		if listed && (!ordered || s.Orders.Get(id).State != work.MachineDone || s.Orders.Get(id).Wave != w.Number) {
 			return false
@@ -473,6 +513,14 @@
 // WriteDone records the result of a write and reports whether it was one of
 // this package.
 func (s *State) WriteDone(tick engine.Tick, result ledger.WriteResult) bool {
+	if _, ok := s.planned[result.ID]; ok {
+		delete(s.planned, result.ID)
+		if result.Outcome != ledger.Applied {
+			s.nextPlan = tick.Now.Add(retryWrite)
+			s.seen(result)
+		}
+		return true
+	}
 	for _, w := range s.Waves.All() {
 		if w.saving != result.ID {
 			continue
@@ -507,7 +555,7 @@
 func (s *State) seen(result ledger.WriteResult) {
 	s.log(events.UpkeepNotSaved, events.F("outcome", result.Outcome.String()), events.Err(result.Err))
 	for _, seen := range result.Current {
-		if seen.Key.Kind == ledger.KindMachineOrder {
+		if seen.Key.Kind == ledger.KindMachineOrder || seen.Key.Kind == ledger.KindMachineMove {
 			s.OrderSeen(seen)
 		}
 	}
--- a/work/records.go
+++ b/work/records.go
@@ -63,11 +63,21 @@
 	MachineDone
 )
 
-// MachineOrder takes a machine out of its pool for maintenance.
+// Demand is what the owner of a pool says about its machines.
+type Demand struct {
+	Need int // machines that the pool can use now
+	Have int // machines that are in use
+	// Spare lists workers that the pool can do without, the least busy first.
+	Spare []string
+}
+
+// MachineOrder takes a machine out of its pool, for the maintenance of a wave
+// or for a move to another pool.
 type MachineOrder struct {
 	Machine string
 	Worker  string
 	Pool    string
-	Wave    int
+	Wave    int    // of a maintenance
+	Target  string // pool that a move leads to
 	State   MachineOrderState
 }
