--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -337,7 +337,7 @@
 const (
 	// saveInterval bounds the writes of an owner. Ends of running jobs are
 	// acknowledged a little later for it.
-	saveInterval = 60 * time.Millisecond
+	saveInterval = 120 * time.Millisecond
 	// beginInterval is the delay until a job that only began is saved; the
 	// shown state and the number of waiting jobs may be two seconds old.
 	beginInterval = 700 * time.Millisecond
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -46,6 +46,13 @@
 	}
 	allowed := time.Duration(max(1, j.Spec.Limits.SlowdownFactor)*float64(longest)) + j.Spec.Limits.Latency
 	j.Objective = tick.Now.Add(allowed - age)
+	j.rest = make([]time.Duration, len(j.Spec.Steps))
+	for i := len(j.rest) - 1; i >= 0; i-- {
+		j.rest[i] += j.Spec.Steps[i].Estimate
+		for _, before := range j.Spec.Steps[i].After {
+			j.rest[before] = max(j.rest[before], j.rest[i])
+		}
+	}
 	// A job's benefit has a fixed part, so small jobs earn more for their work.
 	j.Value = 1 / max(1, workload)
 }
@@ -87,7 +94,7 @@
 }
 
 // compareStages puts lasting work first, then jobs that can still meet their
-// objective, the earliest first, and then late jobs, the smallest first.
+// objective, the earliest first, and then the others, the smallest first.
 func (s *State) compareStages(now time.Time, a, b table.ID) int {
 	x, y := s.Stages.Get(a), s.Stages.Get(b)
 	j, k := s.Jobs.Get(x.Job), s.Jobs.Get(y.Job)
@@ -95,7 +102,7 @@
 		switch {
 		case j.Spec.Steps[stage.Step].Lasting:
 			return 0
-		case now.Before(j.Objective):
+		case now.Add(j.rest[stage.Step]).Before(j.Objective):
 			return 1
 		default:
 			return 2
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -61,10 +61,11 @@
 	Objective time.Time     // finishing later earns little
 	Value     float64       // relative order among jobs of equal urgency
 
-	stages      []table.ID // by occurrence and step
-	occurrences int        // instantiated so far
-	unfinished  int        // stages that are not done
-	revision    int64      // of the saved progress
+	rest        []time.Duration // estimated time from the start of a step to the end of the job
+	stages      []table.ID      // by occurrence and step
+	occurrences int             // instantiated so far
+	unfinished  int             // stages that are not done
+	revision    int64           // of the saved progress
 	dirty       bool
 	urgent      bool // a final state waits to be saved
 	saving      uint64
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -154,9 +154,6 @@
 	idleLookWait = 2 * time.Second
 	// lookGap gathers ends that come at nearly the same time.
 	lookGap = 25 * time.Millisecond
-	// unsavedGap is the longest pause of looks while ends wait to be saved: a
-	// worker answers at once as long as it lists an end.
-	unsavedGap = 250 * time.Millisecond
 	// retryLook is the pause after a look that failed.
 	retryLook = 250 * time.Millisecond
 	// reachableFor is how long a worker counts as reachable after a list. It
@@ -186,9 +183,6 @@
 			if len(w.runs) > 0 {
 				order.Wait = lookWait
 			}
-			if len(w.acking) > 0 {
-				order.Wait = 0
-			}
 		}
 		w.looking = true
 		s.Out.Looks.Add(order)
@@ -276,11 +270,7 @@
 	if len(ended) < maxListedEnds {
 		s.applyAbsence(tick, id, clock, listed)
 	}
-	w = s.Workers.Get(id)
-	w.nextLook = tick.Now.Add(lookGap)
-	if len(w.acking) > 0 {
-		w.nextLook = tick.Now.Add(unsavedGap)
-	}
+	s.Workers.Get(id).nextLook = tick.Now.Add(lookGap)
 }
 
 // applyRunning records one row of a list and returns the run's row.
--- a/entry/process.go
+++ b/entry/process.go
@@ -34,8 +34,8 @@
 	// watchPauseOwning and watchPauseFollowing gather changes between two
 	// watches: an owner learns of a new job by a watch, other processes only
 	// show states.
-	watchPauseOwning    = 15 * time.Millisecond
-	watchPauseFollowing = 120 * time.Millisecond
+	watchPauseOwning    = 70 * time.Millisecond
+	watchPauseFollowing = 250 * time.Millisecond
 	// serveAfterStop is how long a stopping process still answers on open
 	// connections; clients keep using them until they end.
 	serveAfterStop = 2500 * time.Millisecond
