--- a/machines/moves.go
+++ b/machines/moves.go
@@ -20,7 +20,7 @@
 	// standbyAfter is how long a pool must have spare machines before one is
 	// switched off. A move costs about as much as 1.2 s of a machine in a pool,
 	// and a machine that comes back misses the first seconds of a peak.
-	standbyAfter = 6 * time.Second
+	standbyAfter = 2500 * time.Millisecond
 	// maxMovesPerPlan keeps a plan within one store transaction.
 	maxMovesPerPlan = 8
 	// refusedFor keeps a machine from being tried again.
