Add a stand-in of the platform and process tests on it

The stand-in speaks the platform's protocol with its own message types, so that a mistake of the adapter is not mirrored. Eight tests run whole processes on it: a job end to end, death of owners and of all processes, lasting jobs, a wave, a store outage with lost answers and dropped history, manifests, planned stops. Log lines of each kind are bounded per second, and the log never blocks.

--- a/entry/effects.go
+++ b/entry/effects.go
@@ -36,7 +36,7 @@
 	s.Machines.Calls.Drain(func(c machines.MachineCall) { p.perform(func(ctx context.Context) event { return p.maintain(ctx, c) }) })
 
 	for _, logs := range []interface{ Drain(func(events.Record)) }{&s.Logs, &s.Intake.Logs, &out.Logs, &s.Machines.Logs} {
-		logs.Drain(p.log.Write)
+		logs.Drain(func(r events.Record) { p.limiter.write(tick.Now, r) })
 	}
 	out.Counters.Drain(func(c dispatch.Count) { p.counters.add(c.Name, c.Delta) })
 	p.publish(s, tick)
--- a/entry/process.go
+++ b/entry/process.go
@@ -52,6 +52,7 @@
 type Process struct {
 	settings *platform.Settings
 	log      *events.Logger
+	limiter  *logLimiter // of the control thread's records
 	loop     *engine.Loop[State, event]
 	store    *platform.Store
 	workers  *platform.Workers
@@ -92,7 +93,7 @@
 // New makes a process.
 func New(settings *platform.Settings, log *events.Logger, incarnation string) *Process {
 	p := &Process{
-		settings: settings, log: log, metrics: metrics.New("entry"),
+		settings: settings, log: log, limiter: newLogLimiter(log), metrics: metrics.New("entry"),
 		store: platform.NewStore(settings.StoreAddress), workers: platform.NewWorkers(),
 		machines: platform.NewMachines(settings.MachinesAddress), advice: platform.NewAdvice(settings.AdviceAddress),
 		signals: make(chan os.Signal, 1),
--- /dev/null
+++ b/entry/process_test.go
@@ -0,0 +1,331 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/platform/standin"
+)
+
+// waitLimit is generous: the tests wait for conditions and assert no time.
+const waitLimit = 60 * time.Second
+
+// site is a stand-in with some processes.
+type site struct {
+	t         *testing.T
+	platform  *standin.Site
+	processes map[string]*Process
+	clients   map[string]string // client address by process
+	next      int
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func newSite(t *testing.T, processes int) *site {
+	p, err := standin.Start(standin.Pool{Name: "orders", Machines: 4}, standin.Pool{Name: "reports", Machines: 4},
+		standin.Pool{Name: "spare", Machines: 2, Standby: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &site{t: t, platform: p, processes: map[string]*Process{}, clients: map[string]string{}}
+	t.Cleanup(s.stop)
+	s.manifest(1, "orders")
+	for range processes {
+		s.start()
+	}
+	return s
+}
+
+// manifest writes a version in which the queue "q1" leads to the pool.
+func (s *site) manifest(version int, pool string) {
+	s.platform.Put("op/config", []byte(fmt.Sprintf(`{"Version":%d,
+		"Routes":[{"Name":"q1","Host":"shop.example","Prefix":"/q1/","Service":%q,"MaxAttempts":2,"SlowdownFactor":2,"TargetLatencyMs":600},
+			{"Name":"q2","Host":"shop.example","Prefix":"/q2/","Service":"reports","MaxAttempts":2,"SlowdownFactor":2,"TargetLatencyMs":600}],
+		"Services":[{"Name":"orders","RejectsOverload":true},{"Name":"reports","RejectsOverload":true},{"Name":"spare","Standby":true}],
+		"Limits":{"MaxBodyBytes":65536}}`, version, pool)))
+}
+
+func (s *site) start() string {
+	s.next++
+	name := fmt.Sprintf("node-%d", s.next)
+	settings, err := platform.ParseSettings([]byte(fmt.Sprintf(`
+		NodeName = %q
+		Zone = "z1"
+		Advice = %q
+		[Listen]
+		Frontend = %q
+		Readiness = %q
+		[platform]
+		Address = %q
+		[Cloud]
+		Address = %q
+	`, name, s.platform.Address, freeAddress(s.t), freeAddress(s.t), s.platform.Address, s.platform.Address)))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	p := New(settings, testLog(s.t, name), "incarnation-"+name)
+	if err := p.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.processes[name], s.clients[name] = p, settings.ClientAddress
+	s.wait(name+" is ready", func() bool { return p.ready.Load() })
+	return name
+}
+
+// kill ends a process without a word.
+func (s *site) kill(name string) {
+	p := s.processes[name]
+	delete(s.processes, name)
+	delete(s.clients, name)
+	p.cancel()
+	for _, server := range p.servers {
+		_ = server.Close()
+	}
+}
+
+func (s *site) stop() {
+	for name := range s.processes {
+		s.kill(name)
+	}
+	s.platform.Stop()
+}
+
+func (s *site) wait(what string, done func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(waitLimit); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("timeout: %s", what)
+		}
+	}
+}
+
+// call sends a client's request to one of the processes.
+func (s *site) call(method, path, body string) (int, string) {
+	for _, address := range s.clients {
+		request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		request.Host = "shop.example"
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			continue
+		}
+		answer, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		return response.StatusCode, string(answer)
+	}
+	return 0, ""
+}
+
+// submit hands a job in until it is accepted.
+func (s *site) submit(path, body string) {
+	s.t.Helper()
+	s.wait("accept "+path, func() bool { status, _ := s.call(http.MethodPost, path, body); return status == http.StatusOK })
+}
+
+func (s *site) state(path string) string {
+	_, body := s.call(http.MethodGet, path, "")
+	var answer struct{ State string }
+	_ = json.Unmarshal([]byte(body), &answer) // another body has no state
+	return answer.State
+}
+
+func jobBody(payload string, counts ...int) string {
+	var steps []string
+	for i, count := range counts {
+		after := ""
+		if i > 0 {
+			after = fmt.Sprintf(`,"After":[%d]`, i-1)
+		}
+		steps = append(steps, fmt.Sprintf(`{"Count":%d,"Cpu":1000,"MemoryRequestMb":64,"EstimatedMs":200%s}`, count, after))
+	}
+	return fmt.Sprintf(`{"Spec":%q,"Steps":[%s]}`, payload, strings.Join(steps, ","))
+}
+
+// once checks that each task was started exactly once.
+func (s *site) once(want int) {
+	s.t.Helper()
+	seen := map[string]int{}
+	for _, start := range s.platform.Starts() {
+		seen[start.Task]++
+	}
+	for task, n := range seen {
+		if n > 1 {
+			s.t.Errorf("task %s was started %d times", task, n)
+		}
+	}
+	if len(seen) != want {
+		s.t.Errorf("%d tasks were started, want %d", len(seen), want)
+	}
+}
+
+// Guards against a path that is broken anywhere between a client and a worker.
+func TestJobIsServedEndToEnd(t *testing.T) {
+	s := newSite(t, 2)
+	s.submit("/q1/00000000000000a1", jobBody("run:100ms", 4, 3))
+	s.submit("/q1/00000000000000a1", jobBody("run:100ms", 4, 3)) // the same request again stays one job
+	s.wait("job is completed", func() bool { return s.state("/q1/00000000000000a1") == "completed" })
+	s.once(7)
+	if status, _ := s.call(http.MethodGet, "/q1/00000000000000ff", ""); status != http.StatusGone {
+		t.Errorf("an unknown job is answered with %d, want 410", status)
+	}
+	if status, _ := s.call(http.MethodGet, "/none/1", ""); status != http.StatusNotFound {
+		t.Errorf("an unknown queue is answered with %d, want 404", status)
+	}
+	if status, _ := s.call(http.MethodPost, "/q1/00000000000000a2", `{"Steps":[{"Count":-1}]}`); status != http.StatusBadRequest {
+		t.Errorf("an invalid job is answered with %d, want 400", status)
+	}
+}
+
+// Guards against work that is lost or run twice when processes die: the owner
+// of the pool among them.
+func TestJobsSurviveTheirOwner(t *testing.T) {
+	s := newSite(t, 3)
+	for i := range 6 {
+		s.submit(fmt.Sprintf("/q1/00000000000000b%d", i), jobBody("run:1s", 2, 2))
+	}
+	s.wait("some runs began", func() bool { return len(s.platform.Starts()) > 4 })
+	for name := range s.processes {
+		if p := s.processes[name]; p.owning.Load() && len(s.processes) > 1 {
+			s.kill(name)
+		}
+	}
+	for i := range 6 {
+		path := fmt.Sprintf("/q1/00000000000000b%d", i)
+		s.wait("job is completed", func() bool { return s.state(path) == "completed" })
+	}
+	s.once(24)
+}
+
+// Guards against accepted work that only lives in memory: all processes are
+// killed right after the acknowledgement.
+func TestAcceptedJobSurvivesAllProcesses(t *testing.T) {
+	s := newSite(t, 2)
+	s.submit("/q1/00000000000000c1", jobBody("run:100ms", 2))
+	for name := range s.processes {
+		s.kill(name)
+	}
+	s.start()
+	s.wait("job is completed", func() bool { return s.state("/q1/00000000000000c1") == "completed" })
+}
+
+// Guards against a cancelled job that goes on, and a task that lasts and is
+// not started again when its worker restarts.
+func TestLastingJobRunsUntilItIsCancelled(t *testing.T) {
+	s := newSite(t, 2)
+	s.submit("/q2/00000000000000d1", `{"Spec":"last","Steps":[{"Count":2,"Cpu":1000,"LongRunning":true}]}`)
+	s.wait("two runs", func() bool { return len(s.platform.Starts()) == 2 })
+	s.platform.RestartWorkers("reports")
+	s.wait("runs after the restart", func() bool { return len(s.platform.Starts()) >= 4 })
+	if status, _ := s.call(http.MethodDelete, "/q2/00000000000000d1", ""); status != http.StatusOK {
+		t.Fatalf("the cancellation is answered with %d", status)
+	}
+	s.wait("job is cancelled", func() bool { return s.state("/q2/00000000000000d1") == "cancelled" })
+}
+
+// Guards against a wave that is not carried out, or said to be before it is.
+func TestWaveIsCarriedOut(t *testing.T) {
+	s := newSite(t, 2)
+	s.submit("/q2/00000000000000e1", `{"Spec":"last","Steps":[{"Count":3,"Cpu":1000,"LongRunning":true,"MaxUnavailable":1,"MaxPerServer":1}]}`)
+	s.wait("three runs", func() bool { return len(s.platform.Starts()) == 3 })
+	s.platform.Put("op/wave/1", []byte(`{"Wave":1,"Machines":["m-reports-0","m-reports-1","m-orders-0","m-spare-0"],"DurationS":30,"Cap":2}`))
+	s.wait("wave is completed", func() bool { return strings.Contains(string(s.platform.Get("status/wave/1")), "completed") })
+	upkeeps := 0
+	for _, order := range s.platform.Orders() {
+		if strings.HasPrefix(order, "upkeep ") {
+			upkeeps++
+		}
+	}
+	if upkeeps != 4 {
+		t.Errorf("%d machines had their maintenance, want 4: %v", upkeeps, s.platform.Orders())
+	}
+}
+
+// Guards against refusals that are not true while the store is away, and
+// against processes that don't recover from it.
+func TestStoreOutage(t *testing.T) {
+	s := newSite(t, 2)
+	s.submit("/q1/00000000000000f0", jobBody("run:100ms", 1))
+	s.platform.SetFaults(standin.Faults{StoreBusy: true})
+	status, _ := s.call(http.MethodPost, "/q1/00000000000000f1", jobBody("run:100ms", 1))
+	if status != http.StatusServiceUnavailable {
+		t.Errorf("a job is answered with %d while the store refuses writes, want 503", status)
+	}
+	s.platform.SetFaults(standin.Faults{LoseAnswers: 0.5})
+	s.submit("/q1/00000000000000f2", jobBody("run:100ms", 3, 2))
+	s.platform.SetFaults(standin.Faults{})
+	s.platform.Compact()
+	s.submit("/q1/00000000000000f3", jobBody("run:100ms", 3, 2))
+	for _, id := range []string{"f0", "f2", "f3"} {
+		s.wait("job "+id+" is completed", func() bool { return s.state("/q1/00000000000000"+id) == "completed" })
+	}
+	for _, start := range s.platform.Starts() {
+		if strings.HasPrefix(start.Task, "00000000000000f1") {
+			t.Errorf("the refused job ran: %+v", start)
+		}
+	}
+}
+
+// Guards against a manifest that is not in force in a process, or reverts.
+func TestManifestIsInForceEverywhere(t *testing.T) {
+	s := newSite(t, 3)
+	s.manifest(7, "reports")
+	for name, p := range s.processes {
+		s.wait(name+" uses version 7", func() bool { return p.manifest.Load().Version == 7 })
+	}
+	s.manifest(3, "orders")
+	s.submit("/q1/0000000000000001", jobBody("run:50ms", 1))
+	for name, p := range s.processes {
+		if v := p.manifest.Load().Version; v != 7 {
+			t.Errorf("%s uses version %d after 7", name, v)
+		}
+	}
+}
+
+// Guards against a planned stop that loses duties until a lease runs out, or
+// cuts off an answer.
+func TestPlannedStopHandsOver(t *testing.T) {
+	s := newSite(t, 2)
+	s.submit("/q1/0000000000000002", jobBody("run:500ms", 4))
+	s.wait("the job runs", func() bool { return len(s.platform.Starts()) == 4 })
+	for name, p := range s.processes {
+		if !p.owning.Load() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+		p.Stop(ctx)
+		cancel()
+		delete(s.processes, name)
+		delete(s.clients, name)
+		break
+	}
+	s.wait("job is completed", func() bool { return s.state("/q1/0000000000000002") == "completed" })
+	s.once(4)
+}
+
+// testLog writes the processes' logs to the test's output in verbose runs.
+func testLog(t *testing.T, name string) *events.Logger {
+	if !testing.Verbose() {
+		return events.Discard()
+	}
+	return events.New(t.Output(), log.InfoLevel, name, "")
+}
