--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -185,7 +185,7 @@
 	if len(orders) != 1 {
 		t.Fatalf("%d starts, want 1", len(orders))
 	}
-	w.s.Started(tick, orders[0], StartUnanswered, 0, 0, nil)
+	w.s.Started(tick, orders[0], StartUnanswered, Reading{}, nil)
 	w.run(time.Second)
 	if answer := w.start(orders[0]); answer != StartOld {
 		t.Errorf("the late start was answered %v, want %v", answer, StartOld)
@@ -256,3 +256,20 @@
 		t.Errorf("the task was started %d times, want 1", n)
 	}
 }
+
+// Guards against a lease that looks lapsed too early: a process short of
+// processor time applies an answer in a tick whose time is long before the
+// answer's arrival, and would take the worker's clock to be ahead.
+func TestClockReadingCountsFromItsArrival(t *testing.T) {
+	w := newWorld(t, "a")
+	w.run(200 * time.Millisecond)
+	id, _ := w.s.workerByID.Get("a")
+	row := w.s.Workers.Get(id)
+	arrival := w.now.Add(900 * time.Millisecond)
+	row.leaseUntil = w.workers["a"].clock(arrival) + worldMaxLease
+	p := w.s.Pools.Get(row.pool)
+	w.s.Looked(engine.Tick{Now: w.now}, w.s.target(id, row, p), LookListed, w.workers["a"].reading(arrival), nil, nil)
+	if lapse := w.s.Workers.Get(id).lapsesAt(); lapse.Before(arrival.Add(worldMaxLease)) {
+		t.Errorf("the lease looks lapsed %v before it is", arrival.Add(worldMaxLease).Sub(lapse))
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -19,6 +19,9 @@
 	// reorderEvery is how often the queue is sorted anew while jobs wait, since
 	// jobs become late.
 	reorderEvery = 200 * time.Millisecond
+	// placeEvery is the shortest interval between two placements of a pool; in
+	// between, the ends of several workers come together.
+	placeEvery = 8 * time.Millisecond
 	// nearDataPatience is how long a task waits for room near its data.
 	nearDataPatience = 400 * time.Millisecond
 )
@@ -63,9 +66,13 @@
 		if !s.ordering(p, tick.Now) || s.Stopping {
 			continue
 		}
+		if tick.Now.Before(p.placedAt.Add(placeEvery)) {
+			continue
+		}
 		s.orderReady(tick, p)
 		if p.place && len(p.ready) > 0 {
 			s.placePool(tick, id)
+			p.placedAt = tick.Now
 		}
 		p.place = false
 	}
@@ -170,26 +177,49 @@
 	if len(candidates) == 0 {
 		return
 	}
-	ready := s.Pools.Get(poolID).ready
-	for _, stageID := range ready {
-		s.placeStage(tick, poolID, stageID, candidates)
+	largest := largestFree(candidates)
+	for _, stageID := range s.Pools.Get(poolID).ready {
+		stage := s.Stages.Get(stageID)
+		if stage.Ready == 0 || !s.stepOfStage(stage).Reserved().Fits(largest) {
+			continue
+		}
+		if s.placeStage(tick, poolID, stageID, candidates) {
+			largest = largestFree(candidates)
+		}
+	}
+}
+
+func (s *State) stepOfStage(stage *Stage) *work.Step {
+	return &s.Jobs.Get(stage.Job).Spec.Steps[stage.Step]
+}
+
+// largestFree returns the largest free amount of each resource on any
+// candidate: most stages of an overloaded pool need not be looked at.
+func largestFree(candidates []candidate) placement.Resources {
+	var largest placement.Resources
+	for i := range candidates {
+		free := candidates[i].free
+		largest.MilliCores = max(largest.MilliCores, free.MilliCores)
+		largest.MemoryMB = max(largest.MemoryMB, free.MemoryMB)
+		largest.Accelerators = max(largest.Accelerators, free.Accelerators)
 	}
+	return largest
 }
 
-func (s *State) placeStage(tick engine.Tick, poolID, stageID table.ID, candidates []candidate) {
+// placeStage starts the ready tasks of a stage and reports whether it started
+// any.
+func (s *State) placeStage(tick engine.Tick, poolID, stageID table.ID, candidates []candidate) bool {
 	stage := s.Stages.Get(stageID)
 	p := s.Pools.Get(poolID)
 	j := s.Jobs.Get(stage.Job)
-	if stage.Ready == 0 {
-		return
-	}
+	waiting := stage.Ready
 	step := &j.Spec.Steps[stage.Step]
 	if j.Spec.Limits.Advice.Needed() && !s.haveAdvice(tick, stageID, candidates) {
-		return
+		return false
 	}
 	if step.Gang {
 		s.placeGang(tick, poolID, stageID, candidates)
-		return
+		return stage.Ready < waiting
 	}
 	for _, taskID := range stage.Tasks {
 		t := s.Tasks.Get(taskID)
@@ -199,12 +229,13 @@
 		best := s.choose(tick, stage, j, step, t, candidates, "")
 		if best < 0 {
 			if t.Avoid == 0 {
-				return // equal tasks fit nowhere either
+				break // equal tasks fit nowhere either
 			}
 			continue
 		}
 		s.start(tick, p, taskID, &candidates[best], 0)
 	}
+	return stage.Ready < waiting
 }
 
 // mayRunElsewhere reports whether an earlier owner may have started the task
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -67,7 +67,7 @@
 )
 
 // Started records the answer to a start.
-func (s *State) Started(tick engine.Tick, order StartOrder, answer StartAnswer, clock time.Duration, born int64, err error) {
+func (s *State) Started(tick engine.Tick, order StartOrder, answer StartAnswer, reading Reading, err error) {
 	run := s.Runs.Get(order.Run)
 	w := s.Workers.Get(order.Target.Worker)
 	if answer != StartAccepted {
@@ -78,12 +78,12 @@
 	if run == nil || w == nil || run.State != RunOrdered {
 		return
 	}
-	if clock > 0 && (born == 0 || born == w.Born) {
-		w.readClock(tick.Now, clock)
+	if reading.Clock > 0 && (reading.Born == 0 || reading.Born == w.Born) {
+		w.readClock(reading)
 	}
 	switch answer {
 	case StartAccepted:
-		run.State, run.clock, run.progressAt = RunConfirmed, clock, tick.Now
+		run.State, run.clock, run.progressAt = RunConfirmed, reading.Clock, tick.Now
 		if run.Task != 0 {
 			s.begin(tick.Now, run.Task)
 		}
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -40,6 +40,7 @@
 	ready            []table.ID // stages with ready tasks, in the order of placement
 	unordered        bool       // ready needs sorting
 	sortedAt         time.Time
+	placedAt         time.Time
 	demand           work.Demand // last report
 	demandAt         time.Time
 	demandWrite      uint64
@@ -205,6 +206,15 @@
 	lastEviction time.Time
 }
 
+// Reading is what an answer of a worker says about itself, with the moment of
+// its arrival. A tick may apply it much later, when the process is short of
+// processor time, or carry an earlier time than the arrival.
+type Reading struct {
+	Clock time.Duration // the worker's steady clock
+	Born  int64         // start of the worker's life, Unix milliseconds; 0 if not stated
+	At    time.Time
+}
+
 // Effects are the outbound rows of a tick.
 type Effects struct {
 	Starts   table.Outbound[StartOrder]
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -116,10 +116,10 @@
 	return w.clockAt.Add(time.Duration(float64(left)/(1-clockDrift)) + lapseSlack)
 }
 
-// readClock records a reading that arrived now.
-func (w *Worker) readClock(now time.Time, clock time.Duration) {
-	if clock > w.clock || w.clockAt.IsZero() {
-		w.clock, w.clockAt = clock, now
+// readClock records a reading of the clock.
+func (w *Worker) readClock(r Reading) {
+	if r.Clock > w.clock || w.clockAt.IsZero() {
+		w.clock, w.clockAt = r.Clock, r.At
 	}
 }
 
@@ -210,7 +210,7 @@
 )
 
 // Looked records the answer to a look.
-func (s *State) Looked(tick engine.Tick, to Target, result LookResult, clock time.Duration, born int64, running []work.RunStatus, ended []work.RunEnd) {
+func (s *State) Looked(tick engine.Tick, to Target, result LookResult, reading Reading, running []work.RunStatus, ended []work.RunEnd) {
 	w := s.Workers.Get(to.Worker)
 	if w == nil || w.ID != to.ID {
 		return
@@ -222,14 +222,14 @@
 	}
 	switch result {
 	case LookListed:
-		if born != 0 && w.Born != 0 && born != w.Born {
+		if born := reading.Born; born != 0 && w.Born != 0 && born != w.Born {
 			if born > w.Born {
 				s.endLife(tick.Now, to.Worker, born)
 			}
 			w.nextLook = tick.Now.Add(lookGap)
 			return
 		}
-		s.applyLists(tick, to.Worker, clock, running, ended)
+		s.applyLists(tick, to.Worker, reading, running, ended)
 	case LookOtherLife:
 		s.endLife(tick.Now, to.Worker, w.Born)
 		w.fenced, w.nextLook = true, tick.Now.Add(idleLookWait) // nothing of this life can run
@@ -247,15 +247,16 @@
 // absence of a run proves nothing.
 const maxListedEnds = 500
 
-func (s *State) applyLists(tick engine.Tick, id table.ID, clock time.Duration, running []work.RunStatus, ended []work.RunEnd) {
+func (s *State) applyLists(tick engine.Tick, id table.ID, reading Reading, running []work.RunStatus, ended []work.RunEnd) {
 	w := s.Workers.Get(id)
 	p := s.Pools.Get(w.pool)
+	clock := reading.Clock
 	if !w.fenced {
 		w.fenced, p.place = true, true
 		// An earlier owner may have renewed the leases just before.
 		w.leaseUntil = max(w.leaseUntil, clock+s.Config.MaxLease)
 	}
-	w.readClock(tick.Now, clock)
+	w.readClock(reading)
 	w.lookedAt, w.failedLook = tick.Now, 0
 	for _, end := range ended {
 		if end.Number > w.read {
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -85,6 +85,10 @@
 
 func (f *fakeWorker) clock(now time.Time) time.Duration { return f.clockOffset + now.Sub(worldStart) }
 
+func (f *fakeWorker) reading(now time.Time) Reading {
+	return Reading{Clock: f.clock(now), Born: f.Born, At: now}
+}
+
 // own renews the ownership of the pool.
 func (w *world) own() { w.s.Own(w.now, "pool", w.token, 1, w.now.Add(2*time.Second)) }
 
@@ -149,7 +153,7 @@
 func (w *world) perform(tick engine.Tick) {
 	for _, o := range drained[StartOrder](&w.s.Out.Starts) {
 		answer := w.start(o)
-		w.s.Started(tick, o, answer, w.workers[o.Target.ID].clock(w.now), o.Target.Born, nil)
+		w.s.Started(tick, o, answer, w.workers[o.Target.ID].reading(w.now), nil)
 	}
 	for _, o := range drained[StopOrder](&w.s.Out.Stops) {
 		f := w.workers[o.Target.ID]
@@ -161,7 +165,7 @@
 	for _, o := range drained[LookOrder](&w.s.Out.Looks) {
 		f := w.workers[o.Target.ID]
 		if f.silent {
-			w.s.Looked(tick, o.Target, LookFailed, 0, 0, nil, nil)
+			w.s.Looked(tick, o.Target, LookFailed, Reading{}, nil, nil)
 			continue
 		}
 		w.look(tick, f, o)
@@ -209,7 +213,7 @@
 
 func (w *world) look(tick engine.Tick, f *fakeWorker, o LookOrder) {
 	if o.Target.Token < f.token {
-		w.s.Looked(tick, o.Target, LookFenced, f.clock(w.now), f.Born, nil, nil)
+		w.s.Looked(tick, o.Target, LookFenced, f.reading(w.now), nil, nil)
 		return
 	}
 	f.token, f.leaseUntil = o.Target.Token, max(f.leaseUntil, o.LeaseUntil)
@@ -218,7 +222,7 @@
 	for _, r := range f.running {
 		running = append(running, work.RunStatus{Task: r.task, Run: r.run, Percent: atWork})
 	}
-	w.s.Looked(tick, o.Target, LookListed, f.clock(w.now), f.Born, running, slices.Clone(f.ended))
+	w.s.Looked(tick, o.Target, LookListed, f.reading(w.now), running, slices.Clone(f.ended))
 }
 
 func (w *world) store(tick engine.Tick, write ledger.Write) {
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -156,6 +156,11 @@
 	return result
 }
 
+// readingOf stamps an answer with its arrival.
+func readingOf(a platform.WorkerAnswer) dispatch.Reading {
+	return dispatch.Reading{Clock: a.Clock, Born: a.Born, At: now()}
+}
+
 func ref(t dispatch.Target) platform.WorkerRef {
 	return platform.WorkerRef{ID: t.ID, Address: t.Address}
 }
@@ -178,7 +183,7 @@
 		Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 	})
 	p.timers.record("worker_start", now().Sub(begin))
-	return started{order: o, answer: startAnswers[a.Result], clock: a.Clock, born: a.Born, err: a.Err}
+	return started{order: o, answer: startAnswers[a.Result], reading: readingOf(a), err: a.Err}
 }
 
 func (p *Process) stop(ctx context.Context, o dispatch.StopOrder) event {
@@ -205,7 +210,7 @@
 	a := p.workers.Look(ctx, ref(o.Target), platform.Look{
 		LeaseUntil: o.LeaseUntil, Token: o.Target.Token, Acknowledged: o.Acknowledged, Wait: o.Wait,
 	})
-	result.clock, result.born, result.running, result.ended = a.Clock, a.Born, a.Running, a.Ended
+	result.reading, result.running, result.ended = readingOf(a.WorkerAnswer), a.Running, a.Ended
 	switch a.Result {
 	case platform.OrderDone:
 		result.result = dispatch.LookListed
--- a/entry/events.go
+++ b/entry/events.go
@@ -73,27 +73,25 @@
 type looked struct {
 	to      dispatch.Target
 	result  dispatch.LookResult
-	clock   time.Duration
-	born    int64
+	reading dispatch.Reading
 	running []work.RunStatus
 	ended   []work.RunEnd
 }
 
 func (e looked) apply(s *State, tick engine.Tick) {
-	s.Dispatch.Looked(tick, e.to, e.result, e.clock, e.born, e.running, e.ended)
+	s.Dispatch.Looked(tick, e.to, e.result, e.reading, e.running, e.ended)
 }
 
 // started carries the answer to a start.
 type started struct {
-	order  dispatch.StartOrder
-	answer dispatch.StartAnswer
-	clock  time.Duration
-	born   int64
-	err    error
+	order   dispatch.StartOrder
+	answer  dispatch.StartAnswer
+	reading dispatch.Reading
+	err     error
 }
 
 func (e started) apply(s *State, tick engine.Tick) {
-	s.Dispatch.Started(tick, e.order, e.answer, e.clock, e.born, e.err)
+	s.Dispatch.Started(tick, e.order, e.answer, e.reading, e.err)
 }
 
 // stopped carries the answer to a stop.
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -64,6 +64,7 @@
 	s := &State{}
 	nextWrite := func() uint64 { s.lastWrite++; return s.lastWrite }
 	s.Ownership.Node, s.Ownership.Incarnation, s.Ownership.NextWrite = settings.Node, incarnation, nextWrite
+	s.Ownership.Millicores = settings.Millicores
 	s.Dispatch = dispatch.New(dispatch.Config{
 		MaxLease: min(settings.Bounds.MaxLease, runLease), StopTime: settings.Bounds.StopTime, OwnerLease: ownership.LeaseTTL,
 		Notice: settings.Bounds.Notice, RemoteFactor: settings.Bounds.RemoteFactor,
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -58,8 +58,9 @@
 
 // Peer is a live process.
 type Peer struct {
-	Name     string
-	Revision int64
+	Name       string
+	Millicores int
+	Revision   int64
 }
 
 // LeaseCall is an outbound call about the process's store lease.
@@ -82,6 +83,7 @@
 type State struct {
 	Node        string
 	Incarnation string
+	Millicores  int // processor share of this machine
 
 	Duties table.Table[Duty]
 	Peers  table.Table[Peer]
@@ -175,11 +177,15 @@
 			d.EpochRevision, d.Epoch = seen.Revision, owner.Epoch
 		}
 	case ledger.KindPeer:
-		s.applyPeer(seen)
+		s.applyPeer(seen, owner)
 	}
 }
 
-func (s *State) applyPeer(seen ledger.Seen) {
+func (s *State) applyPeer(seen ledger.Seen, record *work.Ownership) {
+	millicores := 0
+	if record != nil {
+		millicores = record.Millicores
+	}
 	id, known := s.peerByName.Get(seen.Key.Name)
 	switch {
 	case known && seen.Revision <= s.Peers.Get(id).Revision:
@@ -187,9 +193,10 @@
 		s.peerByName.Delete(seen.Key.Name)
 		s.Peers.Delete(id)
 	case !seen.Deleted && known:
-		s.Peers.Get(id).Revision = seen.Revision
+		p := s.Peers.Get(id)
+		p.Revision, p.Millicores = seen.Revision, millicores
 	case !seen.Deleted:
-		s.peerByName.Put(seen.Key.Name, s.Peers.Insert(Peer{Name: seen.Key.Name, Revision: seen.Revision}))
+		s.peerByName.Put(seen.Key.Name, s.Peers.Insert(Peer{Name: seen.Key.Name, Millicores: millicores, Revision: seen.Revision}))
 	}
 	if seen.Deleted && seen.Key.Name == s.Node {
 		s.advertised = false
@@ -257,7 +264,7 @@
 	s.advertising = s.NextWrite()
 	s.Writes.Add(ledger.Write{ID: s.advertising, NotAfter: s.ValidUntil, Put: []ledger.Put{{
 		Key: ledger.Key{Kind: ledger.KindPeer, Name: s.Node}, Leased: true,
-		Content: &work.Ownership{Node: s.Node, Incarnation: s.Incarnation},
+		Content: &work.Ownership{Node: s.Node, Incarnation: s.Incarnation, Millicores: s.Millicores},
 	}}})
 }
 
@@ -291,14 +298,16 @@
 }
 
 // ranks returns, for each duty, how many processes come before this one. The
-// order is by load first and by hash second, so that every process computes
-// the same order from the same records.
+// order is by the duties per processor share first and by hash second, so that
+// every process computes the same order from the same records.
 func (s *State) ranks() map[string]int {
 	load := map[string]int{}
 	names := []string{s.Node}
+	share := map[string]int{s.Node: max(1, s.Millicores)}
 	for _, p := range s.Peers.All() {
 		if p.Name != s.Node {
 			names = append(names, p.Name)
+			share[p.Name] = max(1, p.Millicores)
 		}
 	}
 	var free []string
@@ -314,7 +323,7 @@
 	ranks := make(map[string]int, len(free))
 	for _, duty := range free {
 		slices.SortFunc(names, func(a, b string) int {
-			return cmp.Or(cmp.Compare(load[a], load[b]), cmp.Compare(weight(duty, a), weight(duty, b)), cmp.Compare(a, b))
+			return cmp.Or(cmp.Compare((load[a]+1)*share[b], (load[b]+1)*share[a]), cmp.Compare(weight(duty, a), weight(duty, b)), cmp.Compare(a, b))
 		})
 		load[names[0]]++
 		ranks[duty] = slices.Index(names, s.Node)
--- a/work/records.go
+++ b/work/records.go
@@ -42,6 +42,8 @@
 	Incarnation string
 	// Epoch grows with each change of owner.
 	Epoch int
+	// Millicores is the processor share of the node's machine.
+	Millicores int
 }
 
 // Contact is a worker that may hold runs of a pool, with the address under
