--- a/entry/records.go
+++ b/entry/records.go
@@ -132,17 +132,28 @@
 		if err := json.Unmarshal(value, &stored); err != nil {
 			return nil, err
 		}
+		if stored.State < work.JobQueued || stored.State > work.JobCancelled {
+			return nil, errors.Newf("unknown state %d", stored.State)
+		}
 		progress := &work.Progress{State: stored.State}
 		for _, stage := range stored.Stages {
 			progress.Stages = append(progress.Stages, work.StageProgress(stage))
 		}
 		return progress, nil
 	case ledger.KindOwner, ledger.KindEpoch, ledger.KindPeer:
-		return decodeAs[work.Ownership](value)
+		owner, err := decodeAs[work.Ownership](value)
+		if err == nil && owner.Node == "" {
+			err = errors.New("the node is missing")
+		}
+		return owner, err
 	case ledger.KindDemand:
 		return decodeAs[work.Demand](value)
 	case ledger.KindMachineOrder, ledger.KindMachineMove:
-		return decodeAs[work.MachineOrder](value)
+		order, err := decodeAs[work.MachineOrder](value)
+		if err == nil && order.Machine == "" {
+			err = errors.New("the machine is missing")
+		}
+		return order, err
 	case ledger.KindContacts:
 		var contacts []work.Contact
 		err := json.Unmarshal(value, &contacts)
--- /dev/null
+++ b/entry/records_test.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// Guards against a field of a record that is lost on its way through the store.
+func TestRecordsSurviveTheStore(t *testing.T) {
+	limits := work.Limits{Priority: 1, MaxFailures: 2, SlowdownFactor: 1.5, Latency: time.Second, Advice: work.AdviceTerms{Decision: time.Millisecond}}
+	for _, put := range []ledger.Put{
+		{Key: ledger.Key{Kind: ledger.KindJob, Name: "j"}, Content: &work.Job{
+			ID: "j", Queue: "q", Pool: "p", Payload: "x", Limits: limits, AcceptedAt: time.UnixMilli(1234),
+			Schedule: work.Schedule{Times: 2, First: time.UnixMilli(99).UTC(), Interval: time.Second},
+			Steps: []work.Step{{Count: 3, Size: placement.Resources{MilliCores: 1, MemoryMB: 2, Accelerators: 3}, Estimate: 5, Gang: true, Rack: "r", Image: "i"}, {
+				Count: 1, After: []int{0}, Checkpointing: true, SameRack: true, Speculative: true, Lasting: true, Fills: true, Label: "l",
+				MaxPerWorker: 2, LatencyTarget: 6, MaxUnavailable: 7,
+			}},
+		}},
+		{Key: ledger.Key{Kind: ledger.KindProgress, Name: "j"}, Content: &work.Progress{State: work.JobRunning, Stages: []work.StageProgress{
+			{Occurrence: 1, Step: 2, Done: []byte{5}, Failed: []work.TaskFailures{{Index: 1, Count: 2, LastRun: 3}}},
+		}}},
+		{Key: ledger.Key{Kind: ledger.KindOwner, Name: "p"}, Content: &work.Ownership{Node: "n", Incarnation: "i", Epoch: 3}},
+		{Key: ledger.Key{Kind: ledger.KindContacts, Name: "p"}, Content: []work.Contact{{Worker: "w", Address: "a", Born: 4}}},
+		{Key: ledger.Key{Kind: ledger.KindMachineOrder, Name: "m"}, Content: &work.MachineOrder{Machine: "m", Worker: "w", Pool: "p", Wave: 1, State: work.MachineIdle}},
+		{Key: ledger.Key{Kind: ledger.KindMachineMove, Name: "m"}, Content: &work.MachineOrder{Machine: "m", Target: "t"}},
+		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "p"}, Content: &work.Demand{Need: 3, Have: 2, Spare: []string{"w"}}},
+	} {
+		set, err := encodeRecord(put)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen, err := seenRecord(strings.TrimPrefix(set.Key, platform.OwnPrefix), set.Value, 7, 6, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen.Key != put.Key || !reflect.DeepEqual(seen.Content, put.Content) {
+			t.Errorf("%s came back as %+v, want %+v", set.Key, seen.Content, put.Content)
+		}
+	}
+}
+
+// Guards against records of another writer that stop the process or are half
+// applied.
+func TestBadRecordsAreErrors(t *testing.T) {
+	for _, name := range []string{"job/j", "progress/j", "owner/p", "contacts/p", "machine/m", "demand/p", "unknown/x", "nothing"} {
+		for _, value := range []string{"", "{", `"text"`, `{"Steps":7}`, "\xff"} {
+			if name == "demand/p" && value == `{"Steps":7}` {
+				continue // an empty demand with an unknown field, which is ignored
+			}
+			if _, err := seenRecord(name, []byte(value), 1, 1, false); err == nil {
+				t.Errorf("no error for %s = %q", name, value)
+			}
+		}
+	}
+}
+
+// Guards against names of the platform's wire outside the adapter.
+func TestWireNamesStayInTheAdapter(t *testing.T) {
+	wire := regexp.MustCompile(`/api/(run-|hold|pace|advise|machine|kv-|readiness)|Duty-Holder|Fencing-Token|Expected-Instance|MemoryRequestMb|GangTimeoutMs`)
+	err := filepath.WalkDir("..", func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" || strings.HasPrefix(path, "../platform/") {
+			return err
+		}
+		if strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if found := wire.Find(text); found != nil {
+			t.Errorf("%s holds %q, which only platform/ may know", path, found)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -278,7 +278,11 @@
 		if !d.Wanted || d.Revision != 0 || d.claim != 0 || tick.Now.Before(d.retryAt) {
 			continue
 		}
-		if tick.Now.Before(d.FreeSince.Add(time.Duration(ranks[d.Name]) * stepIn)) {
+		free := d.FreeSince
+		if settled := s.syncedAt.Add(settleTime); free.Before(settled) {
+			free = settled
+		}
+		if tick.Now.Before(free.Add(time.Duration(ranks[d.Name]) * stepIn)) {
 			continue
 		}
 		d.claim = s.NextWrite()
