--- a/intake/intake.go
+++ b/intake/intake.go
@@ -131,6 +131,7 @@
 
 // Systems lists the systems in the order in which they run.
 var Systems = []engine.System[State]{
+	{Name: "answer what the watch shows", Run: answerSeen},
 	{Name: "expire requests", Run: expireRequests},
 	{Name: "write requests", Run: writeRequests},
 }
@@ -190,6 +191,20 @@
 	s.Requests.Delete(id)
 }
 
+// answerSeen answers requests whose record the watch shows: their write was
+// carried out, though its answer may be lost or late.
+func answerSeen(s *State, tick engine.Tick) {
+	for id, r := range s.Requests.All() {
+		_, job := s.Ledger.Find(r.Job)
+		if job == nil || job.Spec == nil {
+			continue
+		}
+		if r.Verb == Submit || (r.Verb == Cancel && job.State().Final()) {
+			s.finish(tick, id, Reply{Outcome: Accepted})
+		}
+	}
+}
+
 // expireRequests gives the final answer to requests that can't be served in
 // time, and to those that the store refuses.
 func expireRequests(s *State, tick engine.Tick) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -163,3 +163,18 @@
 		t.Errorf("state is %v", r[3].State)
 	}
 }
+
+// Guards against a caller that waits for a lost answer of the store although
+// the watch shows that the job is durable.
+func TestWatchResolvesAnUnansweredWrite(t *testing.T) {
+	w := newWorld()
+	w.receive(1, Submit, "a")
+	w.tick(time.Millisecond)
+	w.s.Ledger.Apply(w.now, ledger.Seen{
+		Key: ledger.Key{Kind: ledger.KindJob, Name: "a"}, Content: &work.Job{ID: "a", Queue: "q"}, Revision: 4, Created: 4,
+	})
+	w.tick(time.Millisecond)
+	if r := w.replies(); r[1].Outcome != Accepted {
+		t.Errorf("reply is %+v", r[1])
+	}
+}
