Inherit duties after a restart, forget workers that left, remove old records

A process now takes over from its predecessor on the same machine by a conditional write. Records of finished jobs are removed after status_s. Each test fails with its change taken out.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -273,3 +273,43 @@
 		t.Errorf("the lease looks lapsed %v before it is", arrival.Add(worldMaxLease).Sub(lapse))
 	}
 }
+
+// Guards against a store that fills up with finished jobs, and a table that
+// keeps them.
+func TestOldRecordsAreRemoved(t *testing.T) {
+	w := newWorld(t, "a")
+	w.s.Config.Retention = 5 * time.Second
+	w.run(200 * time.Millisecond)
+	w.accept(job("j1", step(1)))
+	w.run(4 * time.Second)
+	if len(w.deleted) != 0 {
+		t.Fatalf("records %v are removed while the job is shown", w.deleted)
+	}
+	w.run(16 * time.Second)
+	if len(w.deleted) < 3 {
+		t.Fatalf("removed records: %v", w.deleted)
+	}
+	for _, key := range w.deleted[:3] {
+		w.ledger.Revision++
+		w.ledger.Apply(w.now, ledger.Seen{Key: key, Deleted: true, Revision: w.ledger.Revision})
+	}
+	if w.ledger.Jobs.Len() != 0 {
+		t.Error("the ledger keeps the removed job")
+	}
+}
+
+// Guards against a new owner that waits for workers which left long ago.
+func TestContactsForgetWorkersThatLeft(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.run(300 * time.Millisecond)
+	if len(w.contacts) != 2 {
+		t.Fatalf("contacts are %v, want both workers", w.contacts)
+	}
+	w.workers["b"].silent = true
+	w.ledger.Revision++
+	w.s.WorkerGone(w.now, "b", w.ledger.Revision)
+	w.run(2 * time.Second)
+	if len(w.contacts) != 1 || w.contacts[0].Worker != "a" {
+		t.Errorf("contacts are %v, want only a", w.contacts)
+	}
+}
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -181,18 +181,12 @@
 		if !s.ordering(p, tick.Now) || p.contactsWrite != 0 || tick.Now.Before(p.contactsRetry) {
 			continue
 		}
-		var contacts []work.Contact
-		missing := false
-		for _, w := range s.Workers.All() {
-			if w.pool != id || (!w.Listed && w.fenced && len(w.runs) == 0) {
-				continue
-			}
-			missing = missing || (!w.saved && w.Listed && w.fenced)
-			contacts = append(contacts, work.Contact{Worker: w.ID, Address: w.Address, Born: w.Born})
-		}
-		if !missing {
+		contacts, missing := s.contacts(id)
+		stale := len(contacts) < len(p.savedContacts) && !tick.Now.Before(p.contactsAt.Add(pruneEvery))
+		if !missing && !stale {
 			continue
 		}
+		p.contactsAt = tick.Now
 		p.contactsWrite = s.NextWrite()
 		s.writes[p.contactsWrite] = writeTarget{pool: id, contacts: contacts}
 		s.Out.Writes.Add(ledger.Write{
@@ -206,6 +200,23 @@
 	}
 }
 
+// contacts returns the workers that hold or may get runs, and whether one of
+// them is not among the saved ones.
+func (s *State) contacts(id table.ID) (contacts []work.Contact, missing bool) {
+	for _, w := range s.Workers.All() {
+		if w.pool != id || (!w.Listed && w.fenced && len(w.runs) == 0) {
+			continue
+		}
+		missing = missing || (!w.saved && w.Listed && w.fenced)
+		contacts = append(contacts, work.Contact{Worker: w.ID, Address: w.Address, Born: w.Born})
+	}
+	return contacts, missing
+}
+
+// pruneEvery is the shortest interval of writes that only remove contacts. A
+// next owner would wait for workers that are gone.
+const pruneEvery = time.Second
+
 // retryWrite is the pause after a write that the store refused or left open.
 const retryWrite = 120 * time.Millisecond
 
@@ -220,7 +231,7 @@
 		}
 		return
 	}
-	p.contactsRevision, p.place = result.Revision, true
+	p.contactsRevision, p.savedContacts, p.place = result.Revision, target.contacts, true
 	for _, contact := range target.contacts {
 		if id, ok := s.workerByID.Get(contact.Worker); ok {
 			if w := s.Workers.Get(id); w.Born == contact.Born {
--- /dev/null
+++ b/dispatch/retention.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+)
+
+const (
+	// sweepEvery is the interval between two searches for old records.
+	sweepEvery = 2 * time.Second
+	// retentionSlack is added to the time for which finished jobs are shown:
+	// other processes saw the end of a job a little later.
+	retentionSlack = 10 * time.Second
+	// maxRemovedJobs keeps a write, with three deletions a job, within the 32
+	// entries of a store transaction.
+	maxRemovedJobs = 10
+)
+
+// removeOldRecords deletes the records of jobs that finished so long ago that
+// nobody may ask for them any more.
+func removeOldRecords(s *State, tick engine.Tick) {
+	for _, p := range s.Pools.All() {
+		if !s.ordering(p, tick.Now) || tick.Now.Before(p.sweptAt.Add(sweepEvery)) {
+			continue
+		}
+		p.sweptAt = tick.Now
+		write := ledger.Write{
+			ID: s.NextWrite(), NotAfter: p.Until,
+			Expect: []ledger.Condition{{Key: ledger.Key{Kind: ledger.KindOwner, Name: p.Name}, Revision: p.Token}},
+		}
+		for _, j := range s.Ledger.Jobs.All() {
+			if len(write.Delete) == 3*maxRemovedJobs {
+				break
+			}
+			if j.Spec == nil || j.Spec.Pool != p.Name || j.FinishedAt.IsZero() || tick.Now.Sub(j.FinishedAt) < s.Config.Retention+retentionSlack {
+				continue
+			}
+			if _, running := s.jobByID.Get(j.ID); running {
+				continue
+			}
+			for _, kind := range []ledger.Kind{ledger.KindJob, ledger.KindProgress, ledger.KindCancel} {
+				write.Delete = append(write.Delete, ledger.Key{Kind: kind, Name: j.ID})
+			}
+		}
+		if len(write.Delete) > 0 {
+			s.Out.Writes.Add(write) // whatever its result, the next sweep sees what is left
+		}
+	}
+}
--- a/dispatch/systems.go
+++ b/dispatch/systems.go
@@ -19,4 +19,5 @@
 	{Name: "save contacts", Run: saveContacts},
 	{Name: "save progress", Run: saveProgress},
 	{Name: "retire jobs", Run: retireJobs},
+	{Name: "remove old records", Run: removeOldRecords},
 }
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -32,6 +32,8 @@
 	Settled bool
 	// Contacts are the workers that may hold runs of an earlier owner.
 	Contacts         []work.Contact
+	savedContacts    []work.Contact
+	contactsAt       time.Time // of the last write
 	contactsRevision int64
 	contactsWrite    uint64
 	contactsRetry    time.Time
@@ -41,6 +43,7 @@
 	unordered        bool       // ready needs sorting
 	sortedAt         time.Time
 	placedAt         time.Time
+	sweptAt          time.Time
 	demand           work.Demand // last report
 	demandAt         time.Time
 	demandWrite      uint64
@@ -296,6 +299,7 @@
 	OwnerLease   time.Duration // longest time that a replaced owner may still order
 	Notice       time.Duration // a lasting task away so long counts as unavailable
 	RemoteFactor float64
+	Retention    time.Duration // finished jobs are shown so long
 }
 
 // State holds the tables of the pools that this process owns.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -138,7 +138,7 @@
 				s.loseRun(tick.Now, run, "lease-lapsed")
 			}
 		}
-		if !w.Listed && len(w.runs) == 0 && p.Settled && tick.Now.After(w.GoneAt.Add(s.Config.MaxLease)) {
+		if !w.Listed && len(w.runs) == 0 && p.Settled && !w.looking {
 			s.workerByID.Delete(w.ID)
 			s.Workers.Delete(id)
 		}
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -44,17 +44,19 @@
 // world joins the decisions of one owner with fake workers and a store that
 // answers at once.
 type world struct {
-	t       *testing.T
-	s       *State
-	ledger  *ledger.Ledger
-	now     time.Time
-	seq     uint64
-	lastID  uint64
-	workers map[string]*fakeWorker
-	token   int64
-	runTime time.Duration
-	saved   map[string]*work.Progress
-	hold    bool // the store answers no write
+	t        *testing.T
+	s        *State
+	ledger   *ledger.Ledger
+	now      time.Time
+	seq      uint64
+	lastID   uint64
+	workers  map[string]*fakeWorker
+	token    int64
+	runTime  time.Duration
+	saved    map[string]*work.Progress
+	hold     bool // the store answers no write
+	deleted  []ledger.Key
+	contacts []work.Contact
 	// holdProgress lets the store answer no write of progress.
 	holdProgress bool
 }
@@ -226,7 +228,7 @@
 }
 
 func (w *world) store(tick engine.Tick, write ledger.Write) {
-	if w.hold || (w.holdProgress && write.Put[0].Key.Kind == ledger.KindProgress) {
+	if w.hold || (w.holdProgress && len(write.Put) > 0 && write.Put[0].Key.Kind == ledger.KindProgress) {
 		return
 	}
 	w.ledger.Revision++
@@ -234,7 +236,11 @@
 		if progress, ok := put.Content.(*work.Progress); ok {
 			w.saved[put.Key.Name] = progress
 		}
+		if contacts, ok := put.Content.([]work.Contact); ok {
+			w.contacts = contacts
+		}
 	}
+	w.deleted = append(w.deleted, write.Delete...)
 	w.s.WriteDone(tick, ledger.WriteResult{ID: write.ID, Outcome: ledger.Applied, Revision: w.ledger.Revision})
 }
 
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -68,6 +68,7 @@
 	s.Dispatch = dispatch.New(dispatch.Config{
 		MaxLease: min(settings.Bounds.MaxLease, runLease), StopTime: settings.Bounds.StopTime, OwnerLease: ownership.LeaseTTL,
 		Notice: settings.Bounds.Notice, RemoteFactor: settings.Bounds.RemoteFactor,
+		Retention: settings.Bounds.StatusRetention,
 	}, &s.Ledger, nextWrite, timeOfDay)
 	s.Intake = intake.New(&s.Ledger, nextWrite)
 	s.Machines.OrderTurn, s.Machines.MachineReturn, s.Machines.NextWrite = settings.Bounds.OrderTurn, settings.Bounds.MachineReturn, nextWrite
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -97,6 +97,10 @@
 		return
 	}
 	l.recount(before, j.countedQueue())
+	if j.Spec == nil && j.Progress == nil && seen.Deleted {
+		l.Forget(id)
+		return
+	}
 	if !j.changed {
 		j.changed = true
 		l.changed = append(l.changed, id)
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -269,20 +269,20 @@
 }
 
 func claimDuties(s *State, tick engine.Tick) {
-	if s.stopping || s.syncedAt.IsZero() || tick.Now.Before(s.syncedAt.Add(settleTime)) ||
-		!tick.Now.Before(s.ValidUntil) || !s.advertised {
+	if s.stopping || s.syncedAt.IsZero() || !tick.Now.Before(s.ValidUntil) || !s.advertised {
 		return
 	}
+	settled := !tick.Now.Before(s.syncedAt.Add(settleTime))
 	ranks := s.ranks()
 	for _, d := range s.Duties.All() {
-		if !d.Wanted || d.Revision != 0 || d.claim != 0 || tick.Now.Before(d.retryAt) {
+		if !d.Wanted || d.claim != 0 || tick.Now.Before(d.retryAt) || (!s.inherits(d) && (d.Revision != 0 || !settled)) {
 			continue
 		}
 		free := d.FreeSince
 		if settled := s.syncedAt.Add(settleTime); free.Before(settled) {
 			free = settled
 		}
-		if tick.Now.Before(free.Add(time.Duration(ranks[d.Name]) * stepIn)) {
+		if tick.Now.Before(free.Add(time.Duration(ranks[d.Name])*stepIn)) && !s.inherits(d) {
 			continue
 		}
 		d.claim = s.NextWrite()
@@ -290,7 +290,7 @@
 		s.Writes.Add(ledger.Write{
 			ID: d.claim, NotAfter: s.ValidUntil,
 			Expect: []ledger.Condition{
-				{Key: ledger.Key{Kind: ledger.KindOwner, Name: d.Name}},
+				{Key: ledger.Key{Kind: ledger.KindOwner, Name: d.Name}, Revision: d.Revision},
 				{Key: ledger.Key{Kind: ledger.KindEpoch, Name: d.Name}, Revision: d.EpochRevision},
 			},
 			Put: []ledger.Put{
@@ -301,6 +301,12 @@
 	}
 }
 
+// inherits reports whether the owner is an earlier process of this machine. It
+// has ended, so that its duty need not wait for the end of its lease.
+func (s *State) inherits(d *Duty) bool {
+	return d.Revision != 0 && d.Owner.Node == s.Node && d.Owner.Incarnation != s.Incarnation
+}
+
 // ranks returns, for each duty, how many processes come before this one. The
 // order is by the duties per processor share first and by hash second, so that
 // every process computes the same order from the same records.
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -208,3 +208,23 @@
 		}
 	}
 }
+
+// Guards against duties that wait for the lease of a process that was killed
+// and is back: its successor on the machine takes them over at once.
+func TestRestartedProcessInheritsItsDuties(t *testing.T) {
+	g := newGroup(t, []string{"a", "b"}, "n1", "n2")
+	g.run(2 * time.Second)
+	names, token := g.owners("a")
+	killed := names[0]
+	next := &State{Node: killed, Incarnation: "2", Millicores: 400, NextWrite: g.states[killed].NextWrite}
+	g.states[killed] = next
+	next.Want(g.now, []string{"a", "b"})
+	for _, seen := range g.records {
+		next.Apply(g.now, seen)
+	}
+	next.Synced(g.now)
+	g.run(200 * time.Millisecond)
+	if after, newToken := g.owners("a"); len(after) != 1 || after[0] != killed || newToken <= token {
+		t.Errorf("owners are %v with token %d after %d", after, newToken, token)
+	}
+}
