--- a/entry/events.go
+++ b/entry/events.go
@@ -23,12 +23,7 @@
 type storeChanged struct{ batch platform.Batch }
 
 func (e storeChanged) apply(s *State, tick engine.Tick) {
-	for _, err := range e.batch.Invalid {
-		s.Logs.Add(events.Record{Event: events.EntryInvalid, Fields: []events.Field{events.Err(err)}})
-	}
-	for i := range e.batch.Entries {
-		s.applyEntry(tick, e.batch.Entries[i])
-	}
+	s.applyBatch(tick, e.batch)
 	s.Ledger.Revision = max(s.Ledger.Revision, e.batch.Revision)
 	s.Ledger.SeenAt = tick.Now
 	if e.batch.Full {
@@ -37,6 +32,20 @@
 	}
 }
 
+// operatorWrote carries what the operator wrote.
+type operatorWrote struct{ batch platform.Batch }
+
+func (e operatorWrote) apply(s *State, tick engine.Tick) { s.applyBatch(tick, e.batch) }
+
+func (s *State) applyBatch(tick engine.Tick, batch platform.Batch) {
+	for _, err := range batch.Invalid {
+		s.Logs.Add(events.Record{Event: events.EntryInvalid, Fields: []events.Field{events.Err(err)}})
+	}
+	for i := range batch.Entries {
+		s.applyEntry(tick, batch.Entries[i])
+	}
+}
+
 // requested carries a client's request.
 type requested struct{ request intake.Request }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -36,6 +36,8 @@
 	// show states.
 	watchPauseOwning    = 70 * time.Millisecond
 	watchPauseFollowing = 250 * time.Millisecond
+	// watchPauseOperator is short: the operator writes rarely.
+	watchPauseOperator = 20 * time.Millisecond
 	// serveAfterStop is how long a stopping process still answers on open
 	// connections; clients keep using them until they end.
 	serveAfterStop = 2500 * time.Millisecond
@@ -134,7 +136,8 @@
 		}
 	}
 	go p.loop.Run(p.ctx)
-	go p.follow()
+	go p.followAll()
+	go p.followOperator()
 	signal.Notify(p.signals, syscall.SIGHUP)
 	go p.reload()
 	p.log.Log(events.ProcessStarted, events.F("node", p.settings.Node), events.F("zone", p.settings.Zone))
@@ -156,27 +159,39 @@
 	return nil
 }
 
-// follow posts the changes of the store.
-func (p *Process) follow() {
+// followAll posts all changes of the store.
+func (p *Process) followAll() {
+	p.follow("", func() time.Duration {
+		if p.owning.Load() {
+			return watchPauseOwning
+		}
+		return watchPauseFollowing
+	}, func(batch platform.Batch) event { return storeChanged{batch} })
+}
+
+// followOperator posts what the operator writes. Its watch is apart from the
+// other one, which lags behind on a weak machine while many jobs come: a
+// manifest must be in force two seconds after it was written.
+func (p *Process) followOperator() {
+	pause := func() time.Duration { return watchPauseOperator }
+	p.follow(platform.OperatorPrefix, pause, func(batch platform.Batch) event { return operatorWrote{batch} })
+}
+
+// follow posts the changes under a prefix.
+func (p *Process) follow(prefix string, pause func() time.Duration, wrap func(platform.Batch) event) {
 	follower := platform.Follower{
-		Store: p.store,
-		Pause: func() time.Duration {
-			if p.owning.Load() {
-				return watchPauseOwning
-			}
-			return watchPauseFollowing
-		},
+		Store: p.store, Prefix: prefix, Pause: pause,
 		Failed: func(err error) {
 			if err == nil {
-				p.log.Log(events.StoreAvailable)
+				p.log.Log(events.StoreAvailable, events.F("prefix", prefix))
 				return
 			}
-			p.log.Log(events.StoreWatchLost, events.Err(err))
+			p.log.Log(events.StoreWatchLost, events.F("prefix", prefix), events.Err(err))
 		},
 	}
 	follower.Run(p.ctx, func(batch platform.Batch) {
-		if err := p.loop.Post(p.ctx, storeChanged{batch}); err != nil && p.ctx.Err() == nil {
-			p.log.Log(events.StoreWatchLost, events.Err(err))
+		if err := p.loop.Post(p.ctx, wrap(batch)); err != nil && p.ctx.Err() == nil {
+			p.log.Log(events.StoreWatchLost, events.F("prefix", prefix), events.Err(err))
 		}
 	})
 }
--- a/entry/process_test.go
+++ b/entry/process_test.go
@@ -301,6 +301,17 @@
 	}
 }
 
+// Guards against a manifest that waits for the watch over all keys, which lags
+// behind on a weak machine while many jobs come.
+func TestManifestDoesNotWaitForOtherChanges(t *testing.T) {
+	s := newSite(t, 1)
+	s.platform.SetFaults(standin.Faults{StallWatch: true})
+	s.manifest(7, "reports")
+	for name, p := range s.processes {
+		s.wait(name+" uses version 7", func() bool { return p.manifest.Load().Version == 7 })
+	}
+}
+
 // Guards against a planned stop that loses duties until a lease runs out, or
 // cuts off an answer.
 func TestPlannedStopHandsOver(t *testing.T) {
