Count failed runs one by one; run a whole site with make run

Ruled out: the acknowledgement of unsaved ends (the missing log lines were cut by the limit per second).

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,12 @@
 GO ?= go
 LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
 
-.PHONY: run build test unit race lint format events generate bench measure capacity
+.PHONY: run run-gateways build test unit race lint format events generate bench measure capacity
 
-run: ## start the whole system in one process on loopback
+run: ## start a site on the stand-in of the operators' platform, in one process on loopback
+	$(GO) run ./cmd/waxwing-site
+
+run-gateways: ## start a site with gateways and controllers, in one process on loopback
 	$(GO) run ./cmd/waxwing-dev
 
 build:
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -23,7 +23,7 @@
 	second := step(3)
 	second.After = []int{0}
 	w.run(200 * time.Millisecond)
-	w.accept(job("j1", step(2), second))
+	w.accept(job(step(2), second))
 	w.run(200 * time.Millisecond)
 	if n := w.starts(work.TaskName{Job: "j1", Step: 1}); n != 0 {
 		t.Fatalf("step 1 started %d times while step 0 runs", n)
@@ -42,7 +42,7 @@
 func TestEndIsAcknowledgedAfterItIsSaved(t *testing.T) {
 	w := newWorld(t, "a")
 	w.run(200 * time.Millisecond)
-	w.accept(job("j1", step(1)))
+	w.accept(job(step(1)))
 	w.run(100 * time.Millisecond)
 	w.hold = true
 	w.run(2 * time.Second)
@@ -59,7 +59,7 @@
 	w.s.Disown("pool")
 	w.token = w.ledger.Revision
 	w.run(200 * time.Millisecond)
-	w.accept(job("j1", step(2)))
+	w.accept(job(step(2)))
 	w.run(2 * time.Second)
 	if saved := w.saved["j1"]; saved == nil || saved.State != work.JobCompleted {
 		t.Fatalf("saved progress is %+v, want completed", saved)
@@ -72,7 +72,7 @@
 	w := newWorld(t, "a", "b")
 	second := step(1)
 	second.After = []int{0}
-	w.accept(job("j1", step(1), second))
+	w.accept(job(step(1), second))
 	w.token = w.ledger.Revision + 1
 	w.ledger.Revision++
 	running := work.TaskName{Job: "j1", Step: 1}
@@ -103,7 +103,7 @@
 	lasting := step(1)
 	lasting.Lasting = true
 	w.run(200 * time.Millisecond)
-	w.accept(job("j1", lasting))
+	w.accept(job(lasting))
 	w.run(300 * time.Millisecond)
 	first, other := w.workers["a"], w.workers["b"]
 	if len(first.running) == 0 {
@@ -128,7 +128,7 @@
 	lasting := step(2)
 	lasting.Lasting, lasting.MaxUnavailable, lasting.MaxPerWorker = true, 1, 1
 	w.run(200 * time.Millisecond)
-	w.accept(job("j1", lasting))
+	w.accept(job(lasting))
 	w.run(500 * time.Millisecond)
 	var used []*fakeWorker
 	for _, id := range []string{"a", "b", "c"} {
@@ -154,7 +154,7 @@
 func TestOwnAcceptanceWaitsForTheWatch(t *testing.T) {
 	w := newWorld(t, "a")
 	w.run(200 * time.Millisecond)
-	early := job("j1", step(1))
+	early := job(step(1))
 	early.Pool = "pool"
 	w.ledger.Apply(w.now, ledger.Seen{
 		Key: ledger.Key{Kind: ledger.KindJob, Name: "j1"}, Content: early, Revision: w.ledger.Revision + 5, Created: w.ledger.Revision + 5,
@@ -175,7 +175,7 @@
 func TestUnansweredStartIsRuledOut(t *testing.T) {
 	w := newWorld(t, "a")
 	w.run(200 * time.Millisecond)
-	w.accept(job("j1", step(1)))
+	w.accept(job(step(1)))
 	w.own()
 	tick := engine.Tick{Now: w.now}
 	for _, system := range Systems {
@@ -202,7 +202,7 @@
 	w := newWorld(t, "a", "b")
 	w.workers["a"].fails, w.workers["b"].fails = true, true
 	w.run(200 * time.Millisecond)
-	w.accept(job("j1", step(1)))
+	w.accept(job(step(1)))
 	w.run(4 * time.Second)
 	if saved := w.saved["j1"]; saved == nil || saved.State != work.JobFailed {
 		t.Fatalf("saved progress is %+v, want failed", saved)
@@ -216,7 +216,7 @@
 // was granted by the earlier owner, and must not look lapsed.
 func TestFoundRunKeepsItsLease(t *testing.T) {
 	w := newWorld(t, "a", "b")
-	w.accept(job("j1", step(2)))
+	w.accept(job(step(2)))
 	w.ledger.Revision++
 	w.token = w.ledger.Revision
 	f := w.workers["a"]
@@ -238,7 +238,7 @@
 	w.runTime = 0
 	lasting := step(1)
 	lasting.Lasting = true
-	w.accept(job("j1", lasting))
+	w.accept(job(lasting))
 	w.s.ContactsSeen(ledger.Seen{
 		Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
 		Content: []work.Contact{{Worker: "a", Address: "a:1", Born: 1}, {Worker: "c", Address: "c:1", Born: 1}},
@@ -280,7 +280,7 @@
 	w := newWorld(t, "a")
 	w.s.Config.Retention = 5 * time.Second
 	w.run(200 * time.Millisecond)
-	w.accept(job("j1", step(1)))
+	w.accept(job(step(1)))
 	w.run(4 * time.Second)
 	if len(w.deleted) != 0 {
 		t.Fatalf("records %v are removed while the job is shown", w.deleted)
@@ -313,3 +313,26 @@
 		t.Errorf("contacts are %v, want only a", w.contacts)
 	}
 }
+
+// Guards against a task that is started once too often: a new owner reads the
+// end of the second failed run before that of the first, on another worker.
+func TestFailuresAreCountedInAnyOrder(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.accept(job(step(1)))
+	w.ledger.Revision++
+	w.token = w.ledger.Revision
+	task := work.TaskName{Job: "j1"}
+	w.s.ContactsSeen(ledger.Seen{
+		Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
+		Content: []work.Contact{{Worker: "a", Address: "a:1", Born: 1}, {Worker: "b", Address: "b:1", Born: 1}},
+	})
+	w.workers["a"].ended = []work.RunEnd{{Number: 1, Task: task, Run: 2, Reason: work.EndFailed}}
+	w.workers["b"].ended = []work.RunEnd{{Number: 1, Task: task, Run: 1, Reason: work.EndFailed}}
+	w.workers["b"].silent = true
+	w.run(300 * time.Millisecond)
+	w.workers["b"].silent = false
+	w.run(2 * time.Second)
+	if saved := w.saved["j1"]; saved == nil || saved.State != work.JobFailed || w.starts(task) != 0 {
+		t.Errorf("after %d more starts the saved progress is %+v, want failed without a start", w.starts(task), saved)
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
@@ -97,8 +98,10 @@
 	for _, failed := range saved.Failed {
 		if failed.Index < len(stage.Tasks) {
 			t := s.Tasks.Get(stage.Tasks[failed.Index])
-			t.Failures, t.FailedRun, t.LastRun = failed.Count, failed.LastRun, failed.LastRun
-			stage.gangRun = max(stage.gangRun, failed.LastRun)
+			t.FailedRuns = slices.Clone(failed.Runs)
+			for _, run := range failed.Runs {
+				t.LastRun = max(t.LastRun, run)
+			}
 		}
 	}
 }
@@ -213,31 +216,23 @@
 }
 
 // failTask counts a failure of a task, or of its gang, and ends the job at the
-// limit of its queue.
+// limit of its queue. A new owner may read the end of a later run before that
+// of an earlier one, on another worker.
 func (s *State) failTask(taskID table.ID, run int) {
 	t := s.Tasks.Get(taskID)
-	if run <= t.FailedRun || t.State == TaskDone {
-		return
-	}
-	stage := s.Stages.Get(t.Stage)
-	j := s.Jobs.Get(stage.Job)
-	step := &j.Spec.Steps[stage.Step]
-	if step.Lasting {
+	stage, j, step := s.step(t)
+	if t.State == TaskDone || step.Lasting || slices.Contains(t.FailedRuns, run) {
 		return
 	}
+	failed := []table.ID{taskID}
 	if step.Gang {
-		if run <= stage.gangRun {
-			return
-		}
-		stage.gangRun = run
-		for _, member := range stage.Tasks {
-			m := s.Tasks.Get(member)
-			m.Failures, m.FailedRun = m.Failures+1, run
-		}
-	} else {
-		t.Failures, t.FailedRun = t.Failures+1, run
+		failed = stage.Tasks
+	}
+	for _, id := range failed {
+		member := s.Tasks.Get(id)
+		member.FailedRuns = append(member.FailedRuns, run)
 	}
-	if t.Failures >= max(1, j.Spec.Limits.MaxFailures) && j.Final == 0 {
+	if len(t.FailedRuns) >= max(1, j.Spec.Limits.MaxFailures) && j.Final == 0 {
 		name := work.TaskName{Job: j.Spec.ID, Occurrence: stage.Occurrence, Step: stage.Step, Index: t.Index}
 		s.finishJob(stage.Job, work.JobFailed, name.String())
 	}
@@ -375,8 +370,8 @@
 			others = append(others, id)
 		}
 	}
-	jobs := append(final, others...)
-	return jobs[:min(len(jobs), maxSavedJobs)]
+	final = append(final, others...)
+	return final[:min(len(final), maxSavedJobs)]
 }
 
 func (s *State) saveJobs(poolID table.ID, jobs []table.ID) {
@@ -411,8 +406,8 @@
 			if t.State == TaskDone {
 				saved.SetDone(index)
 			}
-			if t.Failures > 0 && t.State != TaskDone {
-				saved.Failed = append(saved.Failed, work.TaskFailures{Index: index, Count: t.Failures, LastRun: t.FailedRun})
+			if len(t.FailedRuns) > 0 && t.State != TaskDone {
+				saved.Failed = append(saved.Failed, work.TaskFailures{Index: index, Runs: slices.Clone(t.FailedRuns)})
 			}
 		}
 		if len(saved.Done)+len(saved.Failed) > 0 {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -26,9 +26,6 @@
 	nearDataPatience = 400 * time.Millisecond
 )
 
-// imageStats is what was learned about an image.
-type imageStats struct{ runTime time.Duration }
-
 // setObjective derives the order of a job from its limits.
 func (s *State) setObjective(tick engine.Tick, j *Job) {
 	chain := make([]time.Duration, len(j.Spec.Steps))
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -67,7 +67,6 @@
 
 	rest        []time.Duration // estimated time from the start of a step to the end of the job
 	stages      []table.ID      // by occurrence and step
-	occurrences int             // instantiated so far
 	unfinished  int             // stages that are not done
 	revision    int64           // of the saved progress
 	dirty       bool
@@ -99,7 +98,6 @@
 	Ready      int // tasks that wait for placement
 	queued     bool
 	perWorker  map[table.ID]int
-	gangRun    int // run that was last counted as failed
 	tickets    map[string]ticket
 	askedAt    time.Time
 	asking     bool
@@ -131,8 +129,7 @@
 	State      TaskState
 	Run        table.ID // the run that may exist
 	LastRun    int
-	Failures   int
-	FailedRun  int // highest run whose failure is counted
+	FailedRuns []int // runs whose failure is counted
 	Checkpoint string
 	Avoid      table.ID // worker of the last failure
 	NotBefore  time.Time
@@ -199,14 +196,12 @@
 	lookedAt   time.Time // last list
 	failedLook int       // looks without answer since the last list
 
-	noRoomUntil  time.Time
-	unfitUntil   time.Time
-	suspicion    float64
-	suspicionAt  time.Time
-	failedJobs   map[string]struct{}
-	maintenance  bool // a machine order takes it out
-	evicting     time.Time
-	lastEviction time.Time
+	noRoomUntil time.Time
+	unfitUntil  time.Time
+	suspicion   float64
+	failedJobs  map[string]struct{}
+	maintenance bool // a machine order takes it out
+	evicting    time.Time
 }
 
 // Reading is what an answer of a worker says about itself, with the moment of
@@ -328,7 +323,6 @@
 	due          table.Heap[time.Time] // stages that wait for their time
 	early        []table.ID            // rows of the ledger whose acceptance the watch has not passed
 	ended        []table.ID            // jobs whose rows may be removed
-	images       map[string]*imageStats
 }
 
 // writeTarget tells what a write in flight is for.
@@ -343,7 +337,7 @@
 func New(config Config, jobs *ledger.Ledger, nextWrite func() uint64, timeOfDay func() time.Time) *State {
 	return &State{
 		Config: config, Ledger: jobs, NextWrite: nextWrite, TimeOfDay: timeOfDay,
-		contactsSeen: map[string]ledger.Seen{}, writes: map[uint64]writeTarget{}, images: map[string]*imageStats{},
+		contactsSeen: map[string]ledger.Seen{}, writes: map[uint64]writeTarget{},
 	}
 }
 
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -244,8 +244,9 @@
 	w.s.WriteDone(tick, ledger.WriteResult{ID: write.ID, Outcome: ledger.Applied, Revision: w.ledger.Revision})
 }
 
-func job(id string, steps ...work.Step) *work.Job {
-	return &work.Job{ID: id, Payload: "payload", Steps: steps, Limits: work.Limits{MaxFailures: 2, SlowdownFactor: 2, Latency: time.Second}}
+// job returns a job with the ID j1.
+func job(steps ...work.Step) *work.Job {
+	return &work.Job{ID: "j1", Payload: "payload", Steps: steps, Limits: work.Limits{MaxFailures: 2, SlowdownFactor: 2, Latency: time.Second}}
 }
 
 func step(count int) work.Step {
--- a/entry/events.go
+++ b/entry/events.go
@@ -149,7 +149,7 @@
 	err      error
 }
 
-func (e machinesListed) apply(s *State, tick engine.Tick) { s.Machines.Listed(tick, e.machines, e.err) }
+func (e machinesListed) apply(s *State, _ engine.Tick) { s.Machines.Listed(e.machines, e.err) }
 
 // machineCalled carries the answer to an order for a machine.
 type machineCalled struct {
--- a/entry/process_test.go
+++ b/entry/process_test.go
@@ -63,7 +63,7 @@
 		"Limits":{"MaxBodyBytes":65536}}`, version, pool)))
 }
 
-func (s *site) start() string {
+func (s *site) start() {
 	s.next++
 	name := fmt.Sprintf("node-%d", s.next)
 	settings, err := platform.ParseSettings([]byte(fmt.Sprintf(`
@@ -87,7 +87,6 @@
 	}
 	s.processes[name], s.clients[name] = p, settings.ClientAddress
 	s.wait(name+" is ready", func() bool { return p.ready.Load() })
-	return name
 }
 
 // kill ends a process without a word.
--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -28,7 +28,7 @@
 			}},
 		}},
 		{Key: ledger.Key{Kind: ledger.KindProgress, Name: "j"}, Content: &work.Progress{State: work.JobRunning, Stages: []work.StageProgress{
-			{Occurrence: 1, Step: 2, Done: []byte{5}, Failed: []work.TaskFailures{{Index: 1, Count: 2, LastRun: 3}}},
+			{Occurrence: 1, Step: 2, Done: []byte{5}, Failed: []work.TaskFailures{{Index: 1, Runs: []int{2, 3}}}},
 		}}},
 		{Key: ledger.Key{Kind: ledger.KindOwner, Name: "p"}, Content: &work.Ownership{Node: "n", Incarnation: "i", Epoch: 3}},
 		{Key: ledger.Key{Kind: ledger.KindContacts, Name: "p"}, Content: []work.Contact{{Worker: "w", Address: "a", Born: 4}}},
--- a/machines/machines_test.go
+++ b/machines/machines_test.go
@@ -80,7 +80,7 @@
 			for _, m := range f.machines {
 				list = append(list, *m)
 			}
-			f.s.Listed(tick, list, nil)
+			f.s.Listed(list, nil)
 		})
 		f.s.Calls.Drain(func(c MachineCall) {
 			f.calls = append(f.calls, c)
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -278,7 +278,7 @@
 }
 
 // Listed records a list of machines.
-func (s *State) Listed(tick engine.Tick, machines []work.Machine, err error) {
+func (s *State) Listed(machines []work.Machine, err error) {
 	s.listing = false
 	if err != nil {
 		s.log(events.MachinesUnavailable, events.Err(err))
--- a/work/records.go
+++ b/work/records.go
@@ -15,11 +15,11 @@
 	Failed     []TaskFailures
 }
 
-// TaskFailures counts the failed runs of a task.
+// TaskFailures lists the failed runs of a task. Their ends may be read in any
+// order and more than once.
 type TaskFailures struct {
-	Index   int
-	Count   int
-	LastRun int // highest run that is counted
+	Index int
+	Runs  []int
 }
 
 // IsDone reports whether the task's bit is set.
