--- a/command/entry.go
+++ b/command/entry.go
@@ -33,8 +33,13 @@
 		return exitFailure
 	}
 	id := node.NewIncarnation()
-	logger := events.New(events.NewAsync(stdout), log.ParseLevel(flags.LogLevel), settings.Node, id)
+	lines := events.NewAsync(stdout)
+	logger := events.New(lines, log.ParseLevel(flags.LogLevel), settings.Node, id)
 	return run(program, entry.MaxStopTime, stderr,
-		fx.Provide(func() *entry.Process { return entry.New(settings, logger, id) }),
+		fx.Provide(func() *entry.Process {
+			p := entry.New(settings, logger, id)
+			p.DroppedLines = lines.Dropped
+			return p
+		}),
 		fx.Invoke(func(lifecycle fx.Lifecycle, p *entry.Process) { hook(lifecycle, p) }))
 }
--- a/entry/process.go
+++ b/entry/process.go
@@ -52,6 +52,10 @@
 
 // Process is a running process.
 type Process struct {
+	// DroppedLines returns how many log lines were lost to a slow reader; it
+	// may be nil.
+	DroppedLines func() int64
+
 	settings *platform.Settings
 	log      *events.Logger
 	limiter  *logLimiter // of the control thread's records
@@ -75,6 +79,7 @@
 	owning   atomic.Bool
 	closing  atomic.Bool
 
+	dropped   int64 // dropped lines that are counted
 	requestID atomic.Uint64
 	waiting   sync.Map // request ID to chan intake.Reply
 }
@@ -140,7 +145,7 @@
 	go p.followOperator()
 	signal.Notify(p.signals, syscall.SIGHUP)
 	go p.reload()
-	p.log.Log(events.ProcessStarted, events.F("node", p.settings.Node), events.F("zone", p.settings.Zone))
+	p.log.Log(events.ProcessStarted, events.F("node", p.settings.Node), events.F("zone", p.settings.Zone), events.F("metrics", p.settings.MetricsAddress))
 	return nil
 }
 
@@ -254,6 +259,12 @@
 		p.log.Log(events.ProcessReady, events.F("manifest", s.Manifest.Version), events.F("store_revision", s.Ledger.Revision))
 	}
 	p.ready.Store(ready)
+	if p.DroppedLines != nil {
+		if dropped := p.DroppedLines(); dropped > p.dropped {
+			p.counters.add("log_dropped", dropped-p.dropped)
+			p.dropped = dropped
+		}
+	}
 }
 
 // Stop hands the duties over, answers what is open and ends the process.
--- a/events/events.go
+++ b/events/events.go
@@ -56,6 +56,9 @@
 	}
 	entry.Int("event", event.Number)
 	for _, field := range fields {
+		if field.Value == nil {
+			continue
+		}
 		if err, ok := field.Value.(error); ok {
 			entry.Str(field.Key, err.Error())
 			continue
