--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -289,12 +289,9 @@
 
 // Config holds the bounds that decisions depend on.
 type Config struct {
-	MaxLease     time.Duration // longest lease that a worker grants
-	StopTime     time.Duration // longest time that a stop takes
-	OwnerLease   time.Duration // longest time that a replaced owner may still order
-	Notice       time.Duration // a lasting task away so long counts as unavailable
-	RemoteFactor float64
-	Retention    time.Duration // finished jobs are shown so long
+	MaxLease   time.Duration // lease of everything that runs
+	OwnerLease time.Duration // longest time that a replaced owner may still order
+	Retention  time.Duration // finished jobs are shown so long
 }
 
 // State holds the tables of the pools that this process owns.
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -44,27 +44,31 @@
 // world joins the decisions of one owner with fake workers and a store that
 // answers at once.
 type world struct {
-	t        *testing.T
-	s        *State
-	ledger   *ledger.Ledger
-	now      time.Time
-	seq      uint64
-	lastID   uint64
-	workers  map[string]*fakeWorker
-	token    int64
-	runTime  time.Duration
-	saved    map[string]*work.Progress
-	hold     bool // the store answers no write
-	deleted  []ledger.Key
-	contacts []work.Contact
-	// holdProgress lets the store answer no write of progress.
+	t       *testing.T
+	s       *State
+	ledger  *ledger.Ledger
+	now     time.Time
+	seq     uint64
+	lastID  uint64
+	workers map[string]*fakeWorker
+	token   int64
+	runTime time.Duration
+	saved   map[string]*work.Progress
+	hold    bool // the store carries out no write and answers none
+	// intercept may answer a start instead of the worker; observe is told of
+	// every start that a worker carries out.
+	intercept func(StartOrder) (StartAnswer, bool)
+	observe   func(work.TaskName)
+	deleted   []ledger.Key
+	contacts  []work.Contact
+	// holdProgress is the same for writes of progress only.
 	holdProgress bool
 }
 
 func newWorld(t *testing.T, workers ...string) *world {
 	w := &world{t: t, now: worldStart, ledger: &ledger.Ledger{}, workers: map[string]*fakeWorker{}, runTime: 300 * time.Millisecond, saved: map[string]*work.Progress{}}
 	nextWrite := func() uint64 { w.lastID++; return w.lastID }
-	w.s = New(Config{MaxLease: worldMaxLease, OwnerLease: 2500 * time.Millisecond, RemoteFactor: 3}, w.ledger, nextWrite, func() time.Time { return w.now })
+	w.s = New(Config{MaxLease: worldMaxLease, OwnerLease: 2500 * time.Millisecond}, w.ledger, nextWrite, func() time.Time { return w.now })
 	w.ledger.Synced, w.ledger.Revision = true, 10
 	w.token = 10
 	for _, id := range workers {
@@ -154,7 +158,13 @@
 
 func (w *world) perform(tick engine.Tick) {
 	for _, o := range drained[StartOrder](&w.s.Out.Starts) {
-		answer := w.start(o)
+		answer, intercepted := StartAnswer(0), false
+		if w.intercept != nil {
+			answer, intercepted = w.intercept(o)
+		}
+		if !intercepted {
+			answer = w.start(o)
+		}
 		w.s.Started(tick, o, answer, w.workers[o.Target.ID].reading(w.now), nil)
 	}
 	for _, o := range drained[StopOrder](&w.s.Out.Stops) {
@@ -199,6 +209,9 @@
 	}
 	f.running = append(f.running, r)
 	f.started = append(f.started, o.Task)
+	if w.observe != nil {
+		w.observe(o.Task)
+	}
 	return StartAccepted
 }
 
@@ -229,6 +242,7 @@
 
 func (w *world) store(tick engine.Tick, write ledger.Write) {
 	if w.hold || (w.holdProgress && len(write.Put) > 0 && write.Put[0].Key.Kind == ledger.KindProgress) {
+		w.s.WriteDone(tick, ledger.WriteResult{ID: write.ID, Outcome: ledger.Unknown})
 		return
 	}
 	w.ledger.Revision++
--- a/entry/process.go
+++ b/entry/process.go
@@ -41,9 +41,11 @@
 	// serveAfterStop is how long a stopping process still answers on open
 	// connections; clients keep using them until they end.
 	serveAfterStop = 2500 * time.Millisecond
-	// shutdownTimeout bounds the wait for answers in flight after that. Both
-	// together stay below the platform's 6 s.
+	// shutdownTimeout bounds the wait for answers in flight after that.
 	shutdownTimeout = 2 * time.Second
+	// graceShare is the part of the platform's time between SIGTERM and SIGKILL
+	// that each of the two may take at most.
+	graceShare = 0.4
 	// memoryShare of the machine's memory is the collector's soft limit.
 	memoryShare       = 0.6
 	headerTimeout     = 5 * time.Second
@@ -274,13 +276,14 @@
 	if err := p.loop.Post(ctx, stopRequested{}); err != nil {
 		p.log.Log(events.ShutdownTimeout, events.Err(err))
 	}
-	timer := time.NewTimer(serveAfterStop)
+	share := time.Duration(graceShare * float64(p.settings.Bounds.ShutdownGrace))
+	timer := time.NewTimer(min(serveAfterStop, share))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	shutdown, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	shutdown, cancel := context.WithTimeout(ctx, min(shutdownTimeout, share))
 	defer cancel()
 	var ending sync.WaitGroup
 	for _, server := range p.servers {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -66,9 +66,7 @@
 	s.Ownership.Node, s.Ownership.Incarnation, s.Ownership.NextWrite = settings.Node, incarnation, nextWrite
 	s.Ownership.Millicores = settings.Millicores
 	s.Dispatch = dispatch.New(dispatch.Config{
-		MaxLease: min(settings.Bounds.MaxLease, runLease), StopTime: settings.Bounds.StopTime, OwnerLease: ownership.LeaseTTL,
-		Notice: settings.Bounds.Notice, RemoteFactor: settings.Bounds.RemoteFactor,
-		Retention: settings.Bounds.StatusRetention,
+		MaxLease: min(settings.Bounds.MaxLease, runLease), OwnerLease: ownership.LeaseTTL, Retention: settings.Bounds.StatusRetention,
 	}, &s.Ledger, nextWrite, timeOfDay)
 	s.Intake = intake.New(&s.Ledger, nextWrite)
 	s.Machines.OrderTurn, s.Machines.MachineReturn, s.Machines.NextWrite = settings.Bounds.OrderTurn, settings.Bounds.MachineReturn, nextWrite
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -60,17 +60,6 @@
 	StatusCompleted
 )
 
-// Order is a durable order for a machine with its revision.
-type Order struct {
-	work.MachineOrder
-	Revision int64
-	saving   uint64
-	retryAt  time.Time
-	calling  bool
-	// orderedAt is when this process saw the order as given.
-	orderedAt time.Time
-}
-
 // MachineCall is an outbound call to the machine service: a move to the target
 // pool, or the maintenance of the wave if there is no target.
 type MachineCall struct {
@@ -170,34 +159,6 @@
 	}
 }
 
-// OrderSeen records a durable order.
-func (s *State) OrderSeen(seen ledger.Seen) {
-	if s.changes == nil {
-		s.changes = map[ledger.Key]int64{}
-	}
-	if seen.Revision <= s.changes[seen.Key] {
-		return
-	}
-	s.changes[seen.Key] = seen.Revision
-	id, known := s.orderByKey.Get(seen.Key)
-	order, _ := seen.Content.(*work.MachineOrder)
-	switch {
-	case seen.Deleted || order == nil:
-		if known {
-			s.orderByKey.Delete(seen.Key)
-			s.Orders.Delete(id)
-		}
-	case known:
-		o := s.Orders.Get(id)
-		o.MachineOrder, o.Revision = *order, seen.Revision
-		if o.State != work.MachineIdle {
-			o.calling = false
-		}
-	default:
-		s.orderByKey.Put(seen.Key, s.Orders.Insert(Order{MachineOrder: *order, Revision: seen.Revision}))
-	}
-}
-
 // Maintained iterates over the workers that are taken out of their pools.
 func (s *State) Maintained(yield func(worker string) bool) {
 	for _, o := range s.Orders.All() {
@@ -207,53 +168,6 @@
 	}
 }
 
-// handOver tells the fleet's owner which machines of owned pools are idle.
-func handOver(s *State, tick engine.Tick) {
-	for id, o := range s.Orders.All() {
-		if o.State != work.MachineDraining || o.saving != 0 || tick.Now.Before(o.retryAt) {
-			continue
-		}
-		token, owned := s.PoolToken(o.Pool, tick.Now)
-		if !owned {
-			continue
-		}
-		if idle, known := s.Idle(o.Worker, tick.Now); idle && known {
-			next := o.MachineOrder
-			next.State = work.MachineIdle
-			s.save(id, next, ledger.Condition{Key: ledger.Key{Kind: ledger.KindOwner, Name: o.Pool}, Revision: token})
-		}
-	}
-}
-
-// save writes the next state of an order.
-func (s *State) save(id table.ID, next work.MachineOrder, fence ledger.Condition) {
-	o := s.Orders.Get(id)
-	key := orderKey(&o.MachineOrder)
-	write := ledger.Write{
-		ID: s.NextWrite(), Expect: []ledger.Condition{fence, {Key: key, Revision: o.Revision}},
-		Put: []ledger.Put{{Key: key, Content: &next}},
-	}
-	o.saving = write.ID
-	s.Writes.Add(write)
-}
-
-func orderKey(o *work.MachineOrder) ledger.Key {
-	if o.Target != "" {
-		return ledger.Key{Kind: ledger.KindMachineMove, Name: o.Machine}
-	}
-	return ledger.Key{Kind: ledger.KindMachineOrder, Name: o.Machine}
-}
-
-// ordered reports whether a machine is under an order that is not finished.
-func (s *State) ordered(machine string) bool {
-	for _, kind := range []ledger.Kind{ledger.KindMachineOrder, ledger.KindMachineMove} {
-		if id, ok := s.orderByKey.Get(ledger.Key{Kind: kind, Name: machine}); ok && s.Orders.Get(id).State != work.MachineDone {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *State) fence() ledger.Condition {
 	return ledger.Condition{Key: ledger.Key{Kind: ledger.KindOwner, Name: Duty}, Revision: s.Role.FleetToken}
 }
@@ -290,57 +204,6 @@
 	}
 }
 
-// followMachines notes which ordered machines are back.
-func followMachines(s *State, tick engine.Tick) {
-	if !s.commands(tick.Now) || s.machines == nil {
-		return
-	}
-	for id, o := range s.Orders.All() {
-		if o.saving != 0 || tick.Now.Before(o.retryAt) || o.State == work.MachineDone {
-			continue
-		}
-		if o.State == work.MachineOrdered && o.orderedAt.IsZero() {
-			o.orderedAt = tick.Now
-		}
-		m, listed := s.machines[o.Machine]
-		next := o.MachineOrder
-		switch {
-		case !listed:
-			next.State = work.MachineDone // the machine was taken away
-		case o.State == work.MachineOrdered && m.State == work.MachineUp && s.isBack(o, m):
-			next.State = work.MachineDone
-		case o.State != work.MachineOrdered && m.State == work.MachineUp && m.Worker != o.Worker && o.Target != "":
-			next.State = work.MachineDone // a new worker began meanwhile; it stays
-		case o.State != work.MachineOrdered && m.State == work.MachineUp && m.Worker != o.Worker:
-			// The worker was replaced meanwhile; its successor must be drained.
-			next.Worker, next.Pool, next.State = m.Worker, m.Pool, s.firstState(m)
-		}
-		if next != o.MachineOrder {
-			s.save(id, next, s.fence())
-		}
-	}
-}
-
-// isBack reports whether a list shows the machine after its maintenance. A
-// machine of a standby pool has no worker that would tell, so a list counts
-// only if it was asked for after the maintenance must have ended.
-func (s *State) isBack(o *Order, m work.Machine) bool {
-	if o.Target != "" {
-		return m.Pool == o.Target && s.listedAt.After(o.orderedAt)
-	}
-	if m.Worker != "" && m.Worker != o.Worker {
-		return s.listedAt.After(o.orderedAt)
-	}
-	return m.Worker == "" && s.listedAt.After(o.orderedAt.Add(s.MachineReturn+returnSlack))
-}
-
-func (s *State) firstState(m work.Machine) work.MachineOrderState {
-	if m.Worker == "" || s.Standby(m.Pool) {
-		return work.MachineIdle
-	}
-	return work.MachineDraining
-}
-
 // chooseMachines starts the draining of the next machines of each wave, from
 // the pools with the fewest machines out.
 func chooseMachines(s *State, tick engine.Tick) {
@@ -440,45 +303,6 @@
 	}
 }
 
-// CallResult is the answer to an order for a machine.
-type CallResult uint8
-
-// The answers to an order for a machine.
-const (
-	CallAccepted CallResult = iota + 1
-	CallRefused             // for good: not of the wave, or not allowed in the pool
-	CallRepeat              // not accepted, or unanswered: the same order is given again
-)
-
-// Called records the answer to an order. An unanswered order is given again:
-// the service answers an order that is already carried out like a new one.
-func (s *State) Called(tick engine.Tick, call MachineCall, result CallResult, reason string, err error) {
-	o := s.Orders.Get(call.Order)
-	s.log(events.MaintenanceAnswered, events.F("machine", call.Machine), events.F("wave", call.Wave), events.F("answer", reason), events.Err(err))
-	if o == nil {
-		return
-	}
-	next := o.MachineOrder
-	switch result {
-	case CallAccepted:
-		next.State = work.MachineOrdered
-	case CallRefused:
-		next.State = work.MachineDone
-		if s.refused == nil {
-			s.refused = map[string]time.Time{}
-		}
-		s.refused[call.Machine] = tick.Now
-	default:
-		o.calling, o.retryAt = false, tick.Now.Add(retryOrder)
-		return
-	}
-	// calling stays set until the state is durable, so that the machine counts
-	// as down.
-	if s.commands(tick.Now) {
-		s.save(call.Order, next, s.fence())
-	}
-}
-
 // tellOperator writes that a wave is completed once each of its machines had
 // its maintenance, and removes its orders.
 func tellOperator(s *State, tick engine.Tick) {
