--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -307,7 +307,7 @@
 	}
 	w.workers["b"].silent = true
 	w.ledger.Revision++
-	w.s.WorkerGone(w.now, "b", w.ledger.Revision)
+	w.s.WorkerGone("b", w.ledger.Revision)
 	w.run(2 * time.Second)
 	if len(w.contacts) != 1 || w.contacts[0].Worker != "a" {
 		t.Errorf("contacts are %v, want only a", w.contacts)
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -61,7 +61,7 @@
 			s.Runs.Delete(run)
 		}
 		*w = Worker{
-			Worker: w.Worker, Listed: w.Listed, GoneAt: w.GoneAt, revision: w.revision, maintenance: w.maintenance,
+			Worker: w.Worker, Listed: w.Listed, revision: w.revision, maintenance: w.maintenance,
 			acking: map[int64]struct{}{},
 		}
 		if !w.Listed {
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -281,9 +281,6 @@
 		if !w.maintenance || !s.ordering(s.Pools.Get(w.pool), tick.Now) {
 			continue
 		}
-		if w.evicting.IsZero() {
-			w.evicting = tick.Now
-		}
 		for _, id := range w.runs {
 			run := s.Runs.Get(id)
 			t := s.Tasks.Get(run.Task)
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -176,7 +176,6 @@
 type Worker struct {
 	work.Worker
 	Listed bool // in the registry
-	GoneAt time.Time
 
 	pool     table.ID // owned pool that it serves or served; 0 for none
 	revision int64
@@ -201,7 +200,6 @@
 	suspicion   float64
 	failedJobs  map[string]struct{}
 	maintenance bool // a machine order takes it out
-	evicting    time.Time
 }
 
 // Reading is what an answer of a worker says about itself, with the moment of
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -44,7 +44,7 @@
 
 // WorkerGone records that a worker's entry was removed. Its runs may go on
 // until their lease lapses.
-func (s *State) WorkerGone(now time.Time, id string, revision int64) {
+func (s *State) WorkerGone(id string, revision int64) {
 	row, ok := s.workerByID.Get(id)
 	if !ok {
 		return
@@ -53,7 +53,7 @@
 	if revision <= w.revision || !w.Listed {
 		return
 	}
-	w.Listed, w.GoneAt, w.revision = false, now, revision
+	w.Listed, w.revision = false, revision
 	s.log(events.WorkerGone, events.F("worker", id), events.F("pool", w.Pool), events.F("runs", len(w.runs)), events.F("revision", revision))
 	if w.pool == 0 {
 		s.workerByID.Delete(id)
@@ -99,7 +99,7 @@
 	w.Born, w.fenced, w.saved, w.read = born, false, false, 0
 	w.acking = map[int64]struct{}{}
 	w.clock, w.clockAt, w.leaseUntil, w.nextLook = 0, time.Time{}, 0, now
-	w.suspicion, w.failedJobs, w.unfitUntil, w.evicting = 0, nil, time.Time{}, time.Time{}
+	w.suspicion, w.failedJobs, w.unfitUntil = 0, nil, time.Time{}
 	if len(lost) > 0 {
 		s.log(events.WorkerLifeEnded, events.F("worker", w.ID), events.F("runs", len(lost)), events.F("born", born))
 	}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -72,7 +72,7 @@
 	s.Machines.OrderTurn, s.Machines.MachineReturn, s.Machines.NextWrite = settings.Bounds.OrderTurn, settings.Bounds.MachineReturn, nextWrite
 	s.Machines.Idle = s.Dispatch.Idle
 	s.Machines.PoolToken = func(pool string, now time.Time) (int64, bool) {
-		token, _, owned := s.Ownership.Token(poolDuty(pool), now)
+		token, _, owned := s.Ownership.Token(pool, now)
 		return token, owned
 	}
 	s.Machines.StandbyPool = func() string {
@@ -90,16 +90,13 @@
 	return s
 }
 
-// poolDuty returns the duty of a pool; owner records of pools and of the fleet
-// share one name space.
-func poolDuty(pool string) string { return pool }
-
-// handDuties tells the parts what this process owns.
+// handDuties tells the parts what this process owns. The duty of a pool has
+// the pool's name.
 func handDuties(s *State, tick engine.Tick) {
 	var lost []string
 	for name, token := range s.Dispatch.Owned {
-		current, _, _ := s.Ownership.Token(poolDuty(name), tick.Now)
-		if !s.Ownership.Holds(poolDuty(name)) || current != token {
+		current, _, _ := s.Ownership.Token(name, tick.Now)
+		if !s.Ownership.Holds(name) || current != token {
 			lost = append(lost, name)
 		}
 	}
@@ -111,7 +108,7 @@
 	}
 	for i := range s.Manifest.Pools {
 		name := s.Manifest.Pools[i].Name
-		if token, epoch, _ := s.Ownership.Token(poolDuty(name), tick.Now); s.Ownership.Holds(poolDuty(name)) {
+		if token, epoch, _ := s.Ownership.Token(name, tick.Now); s.Ownership.Holds(name) {
 			s.Dispatch.Own(tick.Now, name, token, epoch, s.Ownership.ValidUntil)
 		}
 	}
@@ -157,7 +154,7 @@
 		}
 	case platform.EntryWorker:
 		if e.Deleted {
-			s.Dispatch.WorkerGone(tick.Now, e.Name, e.Revision)
+			s.Dispatch.WorkerGone(e.Name, e.Revision)
 		} else {
 			s.Dispatch.WorkerSeen(tick.Now, e.Worker, e.Revision)
 		}
@@ -204,7 +201,7 @@
 	duties := []string{machines.Duty}
 	for i := range m.Pools {
 		if !m.Pools[i].Standby {
-			duties = append(duties, poolDuty(m.Pools[i].Name))
+			duties = append(duties, m.Pools[i].Name)
 		}
 	}
 	s.Ownership.Want(tick.Now, duties)
