Let owners release machines in their reports, so that a move needs one write

Ruled out: the limit on calls to the machine service (64 a second, never reached) and the migration itself (1.5 s).

The owner now stops using machines that it does not need and lists idle ones as released; a plan requires the report that released them, a reclaiming report requires that no move is planned, and a new owner's first report voids older ones before it starts anything. States of orders are known from the answer to their write. The need also counts the inflow of the last half second.

Before this change TestOrdersAreWrittenOnce fails; the tests of dispatch/demand_test.go fail without the condition that each names.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -7,13 +7,17 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/table"
 	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
 const (
-	// demandEvery is the shortest interval between two reports.
+	// demandUrgent is the shortest interval between two reports while the pool
+	// lacks machines: a machine needs 1.5 s to come, and turns last some 8 s.
+	demandUrgent = 80 * time.Millisecond
+	// demandEvery is the shortest interval otherwise; reports are priced.
 	demandEvery = 400 * time.Millisecond
 	// demandAtLeast is the longest one, so that the owner of the fleet can
 	// tell an unchanged report from a lost owner.
@@ -31,51 +35,149 @@
 	reserve = 1
 	// leastMachines is the smallest size of a pool.
 	leastMachines = 2
+	// arrivalWindow is the time over which the inflow of work is measured.
+	arrivalWindow = 500 * time.Millisecond
+	// maxReclaimed bounds the conditions of a report, within the 32 entries of
+	// a store transaction.
+	maxReclaimed = 24
 )
 
+// arrival is the work of a job that was accepted a moment ago.
+type arrival struct {
+	at   time.Time
+	work float64 // core-seconds
+}
+
+// arrived counts a job for the inflow of the pool.
+func (p *Pool) arrived(now time.Time, j *Job) {
+	if now.Sub(p.Since) > arrivalWindow { // the first jobs of an owner are old ones
+		p.arrivals = append(p.arrivals, arrival{at: now, work: j.Work})
+	}
+}
+
+// inflow returns the cores that keep up with the jobs that come, as a lower
+// confidence bound: few jobs say little about the next ones.
+func (p *Pool) inflow(now time.Time) float64 {
+	p.arrivals = slices.DeleteFunc(p.arrivals, func(a arrival) bool { return now.Sub(a.at) > arrivalWindow })
+	if len(p.arrivals) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, a := range p.arrivals {
+		sum += a.work
+	}
+	return sum / arrivalWindow.Seconds() * (1 - 1/math.Sqrt(float64(len(p.arrivals))))
+}
+
+// reclaimed reports whether the pool's machines are in the hands of this owner:
+// its first report voids what an earlier one released, and the mirror shows
+// every move that was planned before.
+func (s *State) reclaimed(p *Pool) bool { return p.reported != 0 && s.Ledger.Revision >= p.reported }
+
 // reportDemand tells the owner of the fleet how many machines a pool needs and
-// which it can spare.
+// which it gives up.
 func reportDemand(s *State, tick engine.Tick) {
 	for id, p := range s.Pools.All() {
-		if !s.ordering(p, tick.Now) || p.demandWrite != 0 || tick.Now.Before(p.demandAt.Add(demandEvery)) {
+		if !s.ordering(p, tick.Now) || p.demandWrite != 0 || tick.Now.Before(p.demandRetry) || tick.Now.Before(p.demandAt.Add(demandUrgent)) {
 			continue
 		}
-		demand := s.demand(tick.Now, id, p)
-		old := &p.demand
-		same := old.Have == demand.Have && (old.Need == demand.Need || max(old.Need, demand.Need) <= demand.Have) && len(old.Spare) == len(demand.Spare)
-		if same && tick.Now.Before(p.demandAt.Add(demandAtLeast)) {
+		if p.reported == 0 {
+			s.writeDemand(tick.Now, id, work.Demand{Need: leastMachines, Have: leastMachines}, nil)
 			continue
 		}
-		p.demand, p.demandAt, p.demandWrite = demand, tick.Now, s.NextWrite()
-		s.writes[p.demandWrite] = writeTarget{pool: id, demand: true}
-		s.Out.Writes.Add(ledger.Write{
-			ID: p.demandWrite, NotAfter: p.Until,
-			Expect: []ledger.Condition{{Key: ledger.Key{Kind: ledger.KindOwner, Name: p.Name}, Revision: p.Token}},
-			Put:    []ledger.Put{{Key: ledger.Key{Kind: ledger.KindDemand, Name: p.Name}, Content: &demand}},
+		have := s.poolWorkers(id)
+		demand := work.Demand{Need: s.need(tick.Now, p, have), Have: len(have)}
+		reclaim := s.adjust(p, have, demand.Need+reserve)
+		for _, workerID := range have {
+			if w := s.Workers.Get(workerID); w.surplus && len(w.runs) == 0 && w.fenced && w.Machine != "" && !slices.Contains(reclaim, workerID) {
+				demand.Released = append(demand.Released, w.ID)
+			}
+		}
+		if s.worthReporting(tick.Now, p, &demand, reclaim) {
+			s.writeDemand(tick.Now, id, demand, reclaim)
+		}
+	}
+}
+
+func (s *State) worthReporting(now time.Time, p *Pool, demand *work.Demand, reclaim []table.ID) bool {
+	old := &p.demand
+	if len(reclaim) > 0 || (demand.Need > demand.Have && demand.Need-demand.Have > old.Need-old.Have) {
+		return true
+	}
+	if now.Before(p.demandAt.Add(demandEvery)) {
+		return false
+	}
+	same := old.Have == demand.Have && (old.Need == demand.Need || max(old.Need, demand.Need) <= demand.Have) &&
+		slices.Equal(old.Released, demand.Released)
+	return !same || !now.Before(p.demandAt.Add(demandAtLeast))
+}
+
+// writeDemand stores a report. A reclaimed worker must not be under a move.
+func (s *State) writeDemand(now time.Time, id table.ID, demand work.Demand, reclaim []table.ID) {
+	p := s.Pools.Get(id)
+	p.demandAt, p.demandWrite = now, s.NextWrite()
+	s.writes[p.demandWrite] = writeTarget{pool: id, demand: &demand}
+	write := ledger.Write{
+		ID: p.demandWrite, NotAfter: p.Until,
+		Expect: []ledger.Condition{{Key: ledger.Key{Kind: ledger.KindOwner, Name: p.Name}, Revision: p.Token}},
+		Put:    []ledger.Put{{Key: ledger.Key{Kind: ledger.KindDemand, Name: p.Name}, Content: &demand}},
+	}
+	for _, workerID := range reclaim {
+		write.Expect = append(write.Expect, ledger.Condition{
+			Key: ledger.Key{Kind: ledger.KindMachineMove, Name: s.Workers.Get(workerID).Machine},
 		})
 	}
+	for _, name := range demand.Released { // the write may be carried out whatever its answer is
+		if workerID, ok := s.workerByID.Get(name); ok {
+			s.Workers.Get(workerID).released = true
+		}
+	}
+	s.Out.Writes.Add(write)
+}
+
+// demandSaved records the answer to a report. Workers that it no longer
+// releases may be used again.
+func (s *State) demandSaved(now time.Time, id table.ID, demand *work.Demand, result ledger.WriteResult) {
+	p := s.Pools.Get(id)
+	p.demandWrite = 0
+	if result.Outcome != ledger.Applied {
+		p.demandRetry = now.Add(retryWrite)
+		s.log(events.DemandNotSaved, events.F("pool", p.Name), events.F("outcome", result.Outcome.String()), events.Err(result.Err))
+		return
+	}
+	p.demand = *demand
+	if p.reported == 0 {
+		p.reported = result.Revision
+	}
+	for _, w := range s.Workers.All() {
+		if w.pool == id && w.released && !slices.Contains(demand.Released, w.ID) {
+			w.released, w.surplus, p.place = false, false, true
+		}
+	}
 }
 
-// demand computes the report of a pool.
-func (s *State) demand(now time.Time, poolID table.ID, p *Pool) work.Demand {
+// poolWorkers returns the workers of a pool that neither leave nor are under
+// an order.
+func (s *State) poolWorkers(pool table.ID) []table.ID {
 	var have []table.ID
-	cores, busy, lasting := 0, 0, 0
 	for id, w := range s.Workers.All() {
-		if w.pool != poolID || !w.Listed || w.Draining || w.maintenance {
-			continue
+		if w.pool == pool && w.Listed && !w.Draining && !w.maintenance {
+			have = append(have, id)
 		}
-		have = append(have, id)
+	}
+	return have
+}
+
+// need computes how many machines a pool can use.
+func (s *State) need(now time.Time, p *Pool, have []table.ID) int {
+	cores, busy, lasting := 0, 0, 0
+	for _, id := range have {
+		w := s.Workers.Get(id)
 		cores += w.Capacity.MilliCores
-		hosts := false
-		for _, runID := range w.runs {
-			if t := s.Tasks.Get(s.Runs.Get(runID).Task); t != nil && stepOf(s, t).Lasting {
-				hosts = true
-			}
-		}
-		if hosts {
+		busy += w.used.MilliCores
+		if s.hostsLasting(w) {
 			lasting++
 		}
-		busy += w.used.MilliCores
 	}
 	for _, stageID := range p.ready {
 		if stage := s.Stages.Get(stageID); stage != nil && stage.Ready > 0 {
@@ -87,20 +189,22 @@
 			busy += int(waiting)
 		}
 	}
-	d := work.Demand{Have: len(have)}
 	if len(have) == 0 {
 		if busy > 0 {
-			d.Need = leastMachines
+			return leastMachines
 		}
-		return d
+		return 0
 	}
+	wanted := max(float64(busy), p.inflow(now)*1000)
 	perMachine := float64(cores) / float64(len(have)) * fillTarget
-	need := max(int(math.Ceil(float64(busy)/max(1, perMachine))), lasting+reserve, leastMachines)
-	d.Need = s.smoothNeed(now, p, need)
-	if n := d.Have - d.Need - reserve; n > 0 {
-		d.Spare = s.spareWorkers(have, n)
-	}
-	return d
+	return s.smoothNeed(now, p, max(int(math.Ceil(wanted/max(1, perMachine))), lasting+reserve, leastMachines))
+}
+
+func (s *State) hostsLasting(w *Worker) bool {
+	return slices.ContainsFunc(w.runs, func(run table.ID) bool {
+		t := s.Tasks.Get(s.Runs.Get(run).Task)
+		return t != nil && stepOf(s, t).Lasting
+	})
 }
 
 // smoothNeed returns the highest need of the present and the last window, so
@@ -113,23 +217,48 @@
 	return max(p.need, p.lastNeed)
 }
 
-// spareWorkers returns the least busy workers without lasting tasks.
-func (s *State) spareWorkers(have []table.ID, n int) []string {
-	free := slices.DeleteFunc(slices.Clone(have), func(id table.ID) bool {
-		for _, runID := range s.Workers.Get(id).runs {
-			if t := s.Tasks.Get(s.Runs.Get(runID).Task); t != nil && stepOf(s, t).Lasting {
-				return true
-			}
+// adjust keeps new work off the least busy workers beyond the number to keep,
+// and takes workers back if there are too few. It returns those that need a
+// stored report first.
+func (s *State) adjust(p *Pool, have []table.ID, keep int) []table.ID {
+	var kept, surplus []table.ID
+	for _, id := range have {
+		if s.Workers.Get(id).surplus {
+			surplus = append(surplus, id)
+		} else {
+			kept = append(kept, id)
+		}
+	}
+	if excess := len(kept) - keep; excess > 0 {
+		free := slices.DeleteFunc(kept, func(id table.ID) bool { return s.hostsLasting(s.Workers.Get(id)) })
+		slices.SortFunc(free, s.byUse)
+		for _, id := range free[:min(excess, len(free))] {
+			s.Workers.Get(id).surplus = true
+		}
+		return nil
+	}
+	missing := min(keep-len(kept), len(surplus))
+	slices.SortFunc(surplus, func(a, b table.ID) int { return s.byUse(b, a) })
+	var reclaim []table.ID
+	for _, id := range surplus[:missing] {
+		if w := s.Workers.Get(id); !w.released {
+			w.surplus, p.place = false, true
+		} else if len(reclaim) < maxReclaimed {
+			reclaim = append(reclaim, id)
+		}
+	}
+	return reclaim
+}
+
+// byUse orders workers by what runs there, those that were released first.
+func (s *State) byUse(a, b table.ID) int {
+	x, y := s.Workers.Get(a), s.Workers.Get(b)
+	order := 0
+	if x.released != y.released {
+		order = 1
+		if x.released {
+			order = -1
 		}
-		return false
-	})
-	slices.SortFunc(free, func(a, b table.ID) int {
-		x, y := s.Workers.Get(a), s.Workers.Get(b)
-		return cmp.Or(cmp.Compare(x.used.MilliCores, y.used.MilliCores), cmp.Compare(x.ID, y.ID))
-	})
-	var names []string
-	for _, id := range free[:min(n, len(free))] {
-		names = append(names, s.Workers.Get(id).ID)
 	}
-	return names
+	return cmp.Or(order, cmp.Compare(x.used.MilliCores, y.used.MilliCores), cmp.Compare(x.ID, y.ID))
 }
--- /dev/null
+++ b/dispatch/demand_test.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// idleWorld is a world with more workers than an idle pool keeps.
+func idleWorld(t *testing.T) *world {
+	var names []string
+	for i := range 8 {
+		names = append(names, fmt.Sprintf("w%d", i))
+	}
+	w := newWorld(t, names...)
+	w.run(3 * time.Second)
+	if w.demand == nil || len(w.demand.Released) != len(names)-leastMachines-reserve {
+		t.Fatalf("the report of an idle pool is %+v", w.demand)
+	}
+	return w
+}
+
+// startedOn returns the workers on which tasks were started.
+func (w *world) startedOn() []string {
+	var names []string
+	for id, f := range w.workers {
+		if len(f.started) > 0 {
+			names = append(names, id)
+		}
+	}
+	return names
+}
+
+// Guards against work on a machine that the fleet's owner may move at any
+// moment: a released worker is used again only after a report without it is
+// stored.
+func TestReleasedWorkerIsReclaimedBeforeItIsUsed(t *testing.T) {
+	w := idleWorld(t)
+	released := slices.Clone(w.demand.Released)
+	w.holdKind = ledger.KindDemand
+	w.accept(job(step(60)))
+	w.run(200 * time.Millisecond)
+	for _, id := range w.startedOn() {
+		if slices.Contains(released, id) {
+			t.Fatalf("a task was started on %s, which the stored report releases", id)
+		}
+	}
+	w.holdKind = 0
+	w.run(2 * time.Second)
+	if len(w.startedOn()) <= leastMachines+reserve {
+		t.Errorf("tasks were started on %v only", w.startedOn())
+	}
+}
+
+// Guards against a reclaimed worker whose move was planned in the same moment:
+// the report must not be stored beside the record of a move.
+func TestReclaimRequiresThatNoMoveIsPlanned(t *testing.T) {
+	w := idleWorld(t)
+	released := slices.Clone(w.demand.Released)
+	w.accept(job(step(60)))
+	w.own()
+	var report *ledger.Write
+	for range 20 {
+		w.now = w.now.Add(worldStep)
+		w.own()
+		reportDemand(w.s, w.tickNow())
+		for _, write := range drained[ledger.Write](&w.s.Out.Writes) {
+			if write.Put[0].Key.Kind == ledger.KindDemand {
+				report = &write
+			}
+		}
+		if report != nil {
+			break
+		}
+		loadJobs(w.s, w.tickNow())
+	}
+	if report == nil {
+		t.Fatal("no report")
+	}
+	stored, _ := report.Put[0].Content.(*work.Demand)
+	for _, id := range released {
+		condition := ledger.Condition{Key: ledger.Key{Kind: ledger.KindMachineMove, Name: w.workers[id].Machine}}
+		if !slices.Contains(stored.Released, id) && !slices.Contains(report.Expect, condition) {
+			t.Errorf("%s is reclaimed without the condition that no move of its machine exists", id)
+		}
+	}
+}
+
+// Guards against a new owner that uses workers which an earlier owner released:
+// until its own first report is stored and seen, a move may be planned.
+func TestNewOwnerVoidsTheReleasesOfTheEarlierOne(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	w.holdKind = ledger.KindDemand
+	w.accept(job(step(4)))
+	w.run(time.Second)
+	if started := w.startedOn(); len(started) != 0 {
+		t.Fatalf("tasks were started on %v before the first report was stored", started)
+	}
+	w.holdKind = 0
+	w.run(time.Second)
+	if len(w.startedOn()) == 0 {
+		t.Error("no task was started after the first report")
+	}
+}
+
+// Guards against a forecast from a single job, and against one that misses a
+// turn of the demand until a backlog has formed.
+func TestInflowGrowsWithTheNumberOfJobs(t *testing.T) {
+	now := worldStart
+	p := &Pool{Since: now.Add(-time.Minute)}
+	p.arrived(now, &Job{Work: 10})
+	if cores := p.inflow(now); cores != 0 {
+		t.Errorf("one job gives a forecast of %v cores", cores)
+	}
+	for range 24 {
+		p.arrived(now, &Job{Work: 10})
+	}
+	steady := 25 * 10 / arrivalWindow.Seconds()
+	if cores := p.inflow(now); cores < 0.7*steady || cores > steady {
+		t.Errorf("25 jobs give a forecast of %v cores, the inflow is %v", cores, steady)
+	}
+	if cores := p.inflow(now.Add(2 * arrivalWindow)); cores != 0 {
+		t.Errorf("old jobs give a forecast of %v cores", cores)
+	}
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -223,7 +223,7 @@
 	f.running = []fakeRun{{task: work.TaskName{Job: "j1"}, run: 1, done: w.now.Add(2 * time.Second)}}
 	f.leaseUntil = f.clock(w.now) + worldMaxLease
 	// An end that waits to be saved delays the next look.
-	w.holdProgress = true
+	w.holdKind = ledger.KindProgress
 	f.ended = []work.RunEnd{{Number: 1, Task: work.TaskName{Job: "j1", Index: 1}, Run: 1, Reason: work.EndDone}}
 	w.run(time.Second)
 	if n := w.starts(work.TaskName{Job: "j1"}); n != 0 {
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -36,6 +36,9 @@
 	}
 	j := s.Jobs.Get(id)
 	j.revision = max(j.revision, l.ProgressRevision)
+	if !known {
+		s.Pools.Get(poolID).arrived(tick.Now, j)
+	}
 	if l.Cancelled && j.Final == 0 {
 		s.finishJob(id, work.JobCancelled, "")
 	}
@@ -429,8 +432,8 @@
 	if p == nil {
 		return true
 	}
-	if target.demand {
-		p.demandWrite = 0
+	if target.demand != nil {
+		s.demandSaved(tick.Now, target.pool, target.demand, result)
 		return true
 	}
 	if target.jobs == nil {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -30,7 +30,7 @@
 func (s *State) setObjective(tick engine.Tick, j *Job) {
 	chain := make([]time.Duration, len(j.Spec.Steps))
 	var longest time.Duration
-	workload := 0.0
+	workload := 0.0 // core-seconds
 	for i := range j.Spec.Steps {
 		step := &j.Spec.Steps[i]
 		for _, before := range step.After {
@@ -38,7 +38,7 @@
 		}
 		chain[i] += step.Estimate
 		longest = max(longest, chain[i])
-		workload += float64(step.Count) * step.Estimate.Seconds() * float64(max(1, step.Size.MilliCores))
+		workload += float64(step.Count) * step.Estimate.Seconds() * float64(step.Reserved().MilliCores) / 1000
 	}
 	age := s.TimeOfDay().Sub(j.Spec.AcceptedAt)
 	if age < 0 || age > time.Hour {
@@ -54,13 +54,13 @@
 		}
 	}
 	// A job's benefit has a fixed part, so small jobs earn more for their work.
-	j.Value = 1 / max(1, workload)
+	j.Work, j.Value = workload, 1/max(0.001, workload)
 }
 
 // placeTasks starts ready tasks on workers with room.
 func placeTasks(s *State, tick engine.Tick) {
 	for id, p := range s.Pools.All() {
-		if !s.ordering(p, tick.Now) || s.Stopping {
+		if !s.ordering(p, tick.Now) || s.Stopping || !s.reclaimed(p) {
 			continue
 		}
 		if tick.Now.Before(p.placedAt.Add(placeEvery)) {
@@ -164,7 +164,7 @@
 
 // usable reports whether a start may be sent to the worker.
 func (s *State) usable(now time.Time, w *Worker) bool {
-	return w.Listed && w.fenced && w.saved && !w.Draining && !w.maintenance && !w.clockAt.IsZero() &&
+	return w.Listed && w.fenced && w.saved && !w.Draining && !w.maintenance && !w.surplus && !w.clockAt.IsZero() &&
 		now.Sub(w.lookedAt) < reachableFor && w.failedLook == 0 &&
 		!now.Before(w.noRoomUntil) && !now.Before(w.unfitUntil)
 }
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -47,6 +47,9 @@
 	demand           work.Demand // last report
 	demandAt         time.Time
 	demandWrite      uint64
+	demandRetry      time.Time
+	reported         int64 // revision of this owner's first report; 0 before
+	arrivals         []arrival
 	need             int // highest of the present window
 	lastNeed         int // of the window before
 	needAt           time.Time
@@ -64,6 +67,7 @@
 	Reason    string        // why it failed
 	Objective time.Time     // finishing later earns little
 	Value     float64       // relative order among jobs of equal urgency
+	Work      float64       // estimated, in core-seconds
 
 	rest        []time.Duration // estimated time from the start of a step to the end of the job
 	stages      []table.ID      // by occurrence and step
@@ -200,6 +204,8 @@
 	suspicion   float64
 	failedJobs  map[string]struct{}
 	maintenance bool // a machine order takes it out
+	surplus     bool // gets no work: the pool has enough machines without it
+	released    bool // among the released workers of a report that may be stored
 }
 
 // Reading is what an answer of a worker says about itself, with the moment of
@@ -325,7 +331,7 @@
 	pool     table.ID
 	jobs     []table.ID
 	contacts []work.Contact
-	demand   bool
+	demand   *work.Demand
 }
 
 // New returns an empty state.
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -61,8 +61,9 @@
 	observe   func(work.TaskName)
 	deleted   []ledger.Key
 	contacts  []work.Contact
-	// holdProgress is the same for writes of progress only.
-	holdProgress bool
+	// holdKind is the same for writes of records of one kind only.
+	holdKind ledger.Kind
+	demand   *work.Demand // last stored report of the pool
 }
 
 func newWorld(t *testing.T, workers ...string) *world {
@@ -116,9 +117,13 @@
 	}
 }
 
-func (w *world) tick() {
+func (w *world) tickNow() engine.Tick {
 	w.seq++
-	tick := engine.Tick{Now: w.now, Seq: w.seq}
+	return engine.Tick{Now: w.now, Seq: w.seq}
+}
+
+func (w *world) tick() {
+	tick := w.tickNow()
 	for _, system := range Systems {
 		system.Run(w.s, tick)
 	}
@@ -241,7 +246,7 @@
 }
 
 func (w *world) store(tick engine.Tick, write ledger.Write) {
-	if w.hold || (w.holdProgress && len(write.Put) > 0 && write.Put[0].Key.Kind == ledger.KindProgress) {
+	if w.hold || (w.holdKind != 0 && len(write.Put) > 0 && write.Put[0].Key.Kind == w.holdKind) {
 		w.s.WriteDone(tick, ledger.WriteResult{ID: write.ID, Outcome: ledger.Unknown})
 		return
 	}
@@ -250,6 +255,9 @@
 		if progress, ok := put.Content.(*work.Progress); ok {
 			w.saved[put.Key.Name] = progress
 		}
+		if demand, ok := put.Content.(*work.Demand); ok {
+			w.demand = demand
+		}
 		if contacts, ok := put.Content.([]work.Contact); ok {
 			w.contacts = contacts
 		}
--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -34,7 +34,7 @@
 		{Key: ledger.Key{Kind: ledger.KindContacts, Name: "p"}, Content: []work.Contact{{Worker: "w", Address: "a", Born: 4}}},
 		{Key: ledger.Key{Kind: ledger.KindMachineOrder, Name: "m"}, Content: &work.MachineOrder{Machine: "m", Worker: "w", Pool: "p", Wave: 1, State: work.MachineIdle}},
 		{Key: ledger.Key{Kind: ledger.KindMachineMove, Name: "m"}, Content: &work.MachineOrder{Machine: "m", Target: "t"}},
-		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "p"}, Content: &work.Demand{Need: 3, Have: 2, Spare: []string{"w"}}},
+		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "p"}, Content: &work.Demand{Need: 3, Have: 2, Released: []string{"w"}}},
 	} {
 		set, err := encodeRecord(put)
 		if err != nil {
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -100,6 +100,7 @@
 	PoolSettled         = Event{813, log.InfoLevel, "runs of earlier owners are settled"}
 	WorkFinished        = Event{820, log.InfoLevel, "job reached its final state"}
 	ProgressNotSaved    = Event{821, log.WarnLevel, "progress could not be saved"}
+	DemandNotSaved      = Event{822, log.WarnLevel, "need of a pool could not be saved"}
 	RunOrdered          = Event{830, log.InfoLevel, "run was ordered"}
 	StartRefused        = Event{831, log.WarnLevel, "start was not accepted"}
 	RunEnded            = Event{832, log.InfoLevel, "run ended"}
@@ -148,7 +149,7 @@
 		JobFinished, JobUnknown, JobParked, JobFailed, WorkerQuarantined, WorkerReleased, PowerCapThrottling, JobPreempted,
 		QuarantineCapped,
 		RequestAnswered, RequestNotServed, RequestsNotWritten, PoolOwned, PoolLost, PoolLoaded,
-		PoolSettled, WorkFinished, ProgressNotSaved, RunOrdered, StartRefused, RunEnded,
+		PoolSettled, WorkFinished, ProgressNotSaved, DemandNotSaved, RunOrdered, StartRefused, RunEnded,
 		RunLost, RunAdopted, RunStopOrdered, RunHangs, FillerPaced, AdviceAnswered,
 		WorkerDraining, WorkerGone, WorkerLifeEnded, WorkerLapsed, OrderFenced, WorkerUnfit,
 		WorkerUnfitCapped, UpkeepWaveSeen, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, UpkeepWaveDone,
--- a/machines/machines_test.go
+++ b/machines/machines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,15 @@
 	most     int             // machines that were down at the same time
 	calls    []MachineCall
 	statuses []bool
+	writes   []ledger.Write
+	// watchLag is how much later than the answer to a write the watch shows it.
+	watchLag time.Duration
+	unseen   []laggingRecord
+}
+
+type laggingRecord struct {
+	at   time.Time
+	seen ledger.Seen
 }
 
 func newFleet(t *testing.T, pools map[string]int) *fleet {
@@ -62,6 +72,10 @@
 		f.now = f.now.Add(50 * time.Millisecond)
 		tick := engine.Tick{Now: f.now}
 		f.s.Role = Role{Fleet: true, FleetToken: 1, Until: f.now.Add(time.Second)}
+		for len(f.unseen) > 0 && !f.now.Before(f.unseen[0].at) {
+			f.s.OrderSeen(f.unseen[0].seen)
+			f.unseen = f.unseen[1:]
+		}
 		down := 0
 		for name, at := range f.backAt {
 			if f.now.Before(at) {
@@ -98,19 +112,24 @@
 
 func (f *fleet) write(tick engine.Tick, w ledger.Write) {
 	f.revision++
+	f.writes = append(f.writes, w)
 	for _, put := range w.Put {
 		if completed, ok := put.Content.(bool); ok {
 			f.statuses = append(f.statuses, completed)
 			continue
 		}
-		f.s.OrderSeen(ledger.Seen{Key: put.Key, Content: put.Content, Revision: f.revision})
+		f.show(ledger.Seen{Key: put.Key, Content: put.Content, Revision: f.revision})
 	}
 	for _, key := range w.Delete {
-		f.s.OrderSeen(ledger.Seen{Key: key, Deleted: true, Revision: f.revision})
+		f.show(ledger.Seen{Key: key, Deleted: true, Revision: f.revision})
 	}
 	f.s.WriteDone(tick, ledger.WriteResult{ID: w.ID, Outcome: ledger.Applied, Revision: f.revision})
 }
 
+func (f *fleet) show(seen ledger.Seen) {
+	f.unseen = append(f.unseen, laggingRecord{at: f.now.Add(f.watchLag), seen: seen})
+}
+
 // Guards against more machines down than a wave allows: a machine of a standby
 // pool has no worker that would tell that it is back.
 func TestWaveKeepsItsCap(t *testing.T) {
@@ -160,7 +179,7 @@
 	f := newFleet(t, map[string]int{"a": 2, "b": 3, "standby": 1})
 	spare := f.machines["b-2"].Worker
 	f.demand("a", work.Demand{Need: 4, Have: 2})
-	f.demand("b", work.Demand{Need: 2, Have: 3, Spare: []string{spare}})
+	f.demand("b", work.Demand{Need: 2, Have: 3, Released: []string{spare}})
 	f.run(5 * time.Second)
 	if f.machines["standby-0"].Pool != "a" || f.machines["b-2"].Pool != "a" || len(f.calls) != 2 {
 		t.Errorf("machines are %+v and %+v after %d orders", f.machines["standby-0"], f.machines["b-2"], len(f.calls))
@@ -173,7 +192,7 @@
 // Guards against spare machines that stay switched on.
 func TestSpareMachinesGoToStandby(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 2})
-	f.demand("a", work.Demand{Need: 1, Have: 2, Spare: []string{f.machines["a-1"].Worker}})
+	f.demand("a", work.Demand{Need: 1, Have: 2, Released: []string{f.machines["a-1"].Worker}})
 	f.run(standbyAfter / 2)
 	if len(f.calls) != 0 {
 		t.Fatal("a machine is switched off before its pool is known to spare it for long")
@@ -183,3 +202,56 @@
 		t.Error("the spare machine stays on")
 	}
 }
+
+// Guards against the same state written again and again until the watch shows
+// it: each repetition met a conflict and a pause, so that moves took seconds.
+func TestOrdersAreWrittenOnce(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 2, "b": 3, "standby": 1})
+	f.watchLag = 400 * time.Millisecond
+	f.s.WaveSeen(f.now, work.Wave{Number: 1, Machines: []string{"a-0"}, Cap: 1})
+	f.demand("b", work.Demand{Need: 4, Have: 3})
+	f.run(6 * time.Second)
+	puts := map[string]int{}
+	for _, w := range f.writes {
+		for _, put := range w.Put {
+			if order, ok := put.Content.(*work.MachineOrder); ok {
+				puts[fmt.Sprint(put.Key, order.State)]++
+			}
+		}
+	}
+	for record, n := range puts {
+		if n > 1 {
+			t.Errorf("%s was written %d times", record, n)
+		}
+	}
+	if len(puts) != 5 { // draining, idle, ordered and done of the wave's machine; the move
+		t.Errorf("%d different records were written: %v", len(puts), puts)
+	}
+}
+
+// Guards against the move of a machine whose pool took it back meanwhile: a plan
+// must not be stored beside a later report of the pool, nor beside another
+// order for the machine.
+func TestPlanNeedsThePresentReport(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 2, "b": 3})
+	f.demand("b", work.Demand{Need: 1, Have: 3, Released: []string{f.machines["b-2"].Worker}})
+	reported := f.revision
+	f.demand("a", work.Demand{Need: 3, Have: 2})
+	f.run(time.Second)
+	for _, w := range f.writes {
+		if len(w.Put) == 0 || w.Put[0].Key.Kind != ledger.KindMachineMove {
+			continue
+		}
+		for _, condition := range []ledger.Condition{
+			{Key: ledger.Key{Kind: ledger.KindDemand, Name: "b"}, Revision: reported},
+			{Key: ledger.Key{Kind: ledger.KindMachineMove, Name: "b-2"}},
+			{Key: ledger.Key{Kind: ledger.KindMachineOrder, Name: "b-2"}},
+		} {
+			if !slices.Contains(w.Expect, condition) {
+				t.Errorf("the plan lacks the condition %+v", condition)
+			}
+		}
+		return
+	}
+	t.Error("no move was planned")
+}
--- a/machines/moves.go
+++ b/machines/moves.go
@@ -12,17 +12,19 @@
 )
 
 const (
-	// planEvery is the interval of move plans. A machine needs 1.5 s to move,
-	// so planning more often gains little.
-	planEvery = 250 * time.Millisecond
+	// planEvery is the shortest interval between two move plans; in between,
+	// the reports of several pools come together.
+	planEvery = 60 * time.Millisecond
 	// demandFor is how long what an owner said about a pool counts.
 	demandFor = 8 * time.Second
-	// standbyAfter is how long a pool must have spare machines before one is
-	// switched off. A move costs about as much as 1.2 s of a machine in a pool,
-	// and a machine that comes back misses the first seconds of a peak.
+	// standbyAfter is how long a machine must be released before it is switched
+	// off. A move costs about as much as 1.2 s of a machine in a pool, and a
+	// machine that comes back misses the first seconds of a peak.
 	standbyAfter = 2500 * time.Millisecond
-	// maxMovesPerPlan keeps a plan within one store transaction.
-	maxMovesPerPlan = 8
+	// maxMovesPerWrite keeps a plan within the 32 entries of a store
+	// transaction: three a move, the fence, and the reports of up to seven
+	// pools.
+	maxMovesPerWrite = 8
 	// refusedFor keeps a machine from being tried again.
 	refusedFor = 10 * time.Second
 )
@@ -31,9 +33,9 @@
 type Demand struct {
 	Pool string
 	work.Demand
-	Revision   int64
-	SeenAt     time.Time
-	spareSince time.Time // zero while nothing is spare
+	Revision int64
+	SeenAt   time.Time
+	since    map[string]time.Time // when a worker was released
 }
 
 // DemandSeen records what a pool's owner says about its machines.
@@ -49,12 +51,14 @@
 		return
 	}
 	d.Demand, d.Revision, d.SeenAt = *demand, seen.Revision, now
-	switch {
-	case len(demand.Spare) == 0:
-		d.spareSince = time.Time{}
-	case d.spareSince.IsZero():
-		d.spareSince = now
+	since := make(map[string]time.Time, len(demand.Released))
+	for _, worker := range demand.Released {
+		since[worker] = now
+		if at, before := d.since[worker]; before {
+			since[worker] = at
+		}
 	}
+	d.since = since
 }
 
 // shortage is how many machines a pool lacks, given the moves under way.
@@ -71,7 +75,7 @@
 // moving reports whether machines must be known for moves.
 func (s *State) moving(now time.Time) bool {
 	for _, d := range s.Demands.All() {
-		if now.Sub(d.SeenAt) < demandFor && (s.shortage(d) > 0 || s.switchOff(now, d)) {
+		if now.Sub(d.SeenAt) < demandFor && (s.shortage(d) > 0 || s.switchesOff(now, d)) {
 			return true
 		}
 	}
@@ -83,13 +87,24 @@
 	return false
 }
 
-func (s *State) switchOff(now time.Time, d *Demand) bool {
-	return s.StandbyPool() != "" && !d.spareSince.IsZero() && now.Sub(d.spareSince) > standbyAfter
+// switchesOff reports whether a machine of the pool is to be switched off.
+func (s *State) switchesOff(now time.Time, d *Demand) bool {
+	return slices.ContainsFunc(d.Released, func(worker string) bool { return s.unneeded(now, d, worker) })
+}
+
+func (s *State) unneeded(now time.Time, d *Demand, worker string) bool {
+	return s.StandbyPool() != "" && now.Sub(d.since[worker]) > standbyAfter
 }
 
-// planMoves gives machines to the pools that lack some: machines of a standby
-// pool first, then spare ones of other pools. Machines that nobody needs go to
-// the standby pool.
+// releasedMachine is a machine that a pool's owner gave up.
+type releasedMachine struct {
+	work.Machine
+	by *Demand // nil for a machine of a standby pool
+}
+
+// planMoves gives machines to the pools that lack some: those that other pools
+// released first, then machines of a standby pool. Machines that nobody needs
+// go to the standby pool.
 func planMoves(s *State, tick engine.Tick) {
 	if !s.commands(tick.Now) || s.machines == nil || len(s.planned) > 0 || tick.Now.Before(s.nextPlan) {
 		return
@@ -104,34 +119,56 @@
 			}
 		}
 	}
-	slices.SortFunc(short, func(a, b *Demand) int {
-		return cmp.Or(cmp.Compare(s.shortage(b), s.shortage(a)), cmp.Compare(a.Pool, b.Pool))
-	})
-	free := s.standbyMachines(tick.Now)
+	var free []releasedMachine
 	for _, d := range all {
 		if !slices.Contains(short, d) {
-			free = append(free, s.spareMachines(tick.Now, d)...)
+			free = append(free, s.releasedMachines(tick.Now, d)...)
 		}
 	}
+	given := len(free)
+	free = append(free, s.standbyMachines(tick.Now)...)
 	var moves []work.MachineOrder
-	for _, d := range short {
-		for n := s.shortage(d); n > 0 && len(free) > 0 && len(moves) < maxMovesPerPlan; n-- {
-			moves = append(moves, s.move(free[0], d.Pool))
-			free = free[1:]
+	by := map[string]*Demand{}
+	take := func(m releasedMachine, target string) {
+		moves = append(moves, work.MachineOrder{Machine: m.Name, Worker: m.Worker, Pool: m.Pool, Target: target, State: work.MachineIdle})
+		by[m.Name] = m.by
+	}
+	used := 0
+	for _, d := range s.inTurn(short) {
+		if used == len(free) {
+			break
 		}
+		take(free[used], d.Pool)
+		used++
 	}
-	if len(short) == 0 {
-		for _, d := range all {
-			if spare := s.spareMachines(tick.Now, d); s.switchOff(tick.Now, d) && len(spare) > 0 && len(moves) < maxMovesPerPlan {
-				moves = append(moves, s.move(spare[0], s.StandbyPool()))
-			}
+	for _, m := range free[min(used, given):given] {
+		if s.unneeded(tick.Now, m.by, m.Worker) {
+			take(m, s.StandbyPool())
 		}
 	}
-	s.writeMoves(tick, moves)
+	for part := range slices.Chunk(moves, maxMovesPerWrite) {
+		s.writeMoves(part, by)
+	}
 }
 
-func (s *State) move(m work.Machine, to string) work.MachineOrder {
-	return work.MachineOrder{Machine: m.Name, Worker: m.Worker, Pool: m.Pool, Target: to, State: s.firstState(m)}
+// inTurn lists pools that lack machines, once for each machine: the pool that
+// lacks most is next.
+func (s *State) inTurn(short []*Demand) []*Demand {
+	lack := make(map[*Demand]int, len(short))
+	total := 0
+	for _, d := range short {
+		lack[d] = s.shortage(d)
+		total += lack[d]
+	}
+	turns := make([]*Demand, 0, total)
+	for range total {
+		next := slices.MinFunc(short, func(a, b *Demand) int {
+			return cmp.Or(cmp.Compare(lack[b], lack[a]), cmp.Compare(a.Pool, b.Pool))
+		})
+		lack[next]--
+		turns = append(turns, next)
+	}
+	return turns
 }
 
 func (s *State) movable(now time.Time, m work.Machine) bool {
@@ -139,66 +176,97 @@
 	return m.State == work.MachineUp && !s.ordered(m.Name) && (!refused || now.Sub(at) > refusedFor)
 }
 
-func (s *State) standbyMachines(now time.Time) []work.Machine {
-	var free []work.Machine
+// planning reports whether a move of the machine is being written.
+func (s *State) planning(machine string) bool {
+	for _, moves := range s.planned {
+		if slices.ContainsFunc(moves, func(o work.MachineOrder) bool { return o.Machine == machine }) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) standbyMachines(now time.Time) []releasedMachine {
+	var free []releasedMachine
 	for _, m := range s.machines {
 		if s.Standby(m.Pool) && s.movable(now, m) {
-			free = append(free, m)
+			free = append(free, releasedMachine{Machine: m})
 		}
 	}
-	slices.SortFunc(free, func(a, b work.Machine) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(free, func(a, b releasedMachine) int { return cmp.Compare(a.Name, b.Name) })
 	return free
 }
 
-func (s *State) spareMachines(now time.Time, d *Demand) []work.Machine {
+func (s *State) releasedMachines(now time.Time, d *Demand) []releasedMachine {
 	byWorker := map[string]work.Machine{}
 	for _, m := range s.machines {
 		if m.Worker != "" && m.Pool == d.Pool {
 			byWorker[m.Worker] = m
 		}
 	}
-	// Machines that leave already count against what is spare.
-	leaving := 0
-	for _, o := range s.Orders.All() {
-		if o.Target != "" && o.Pool == d.Pool && o.State != work.MachineDone && slices.Contains(d.Spare, o.Worker) {
-			leaving++
-		}
-	}
-	var free []work.Machine
-	for _, worker := range d.Spare {
-		if m, ok := byWorker[worker]; ok && s.movable(now, m) && len(free)+leaving < len(d.Spare) {
-			free = append(free, m)
+	var free []releasedMachine
+	for _, worker := range d.Released {
+		if m, ok := byWorker[worker]; ok && s.movable(now, m) {
+			free = append(free, releasedMachine{Machine: m, by: d})
 		}
 	}
 	return free
 }
 
-func (s *State) writeMoves(tick engine.Tick, moves []work.MachineOrder) {
-	if len(moves) == 0 {
-		return
-	}
+// writeMoves stores planned moves. A machine must still be released by the
+// report that was seen, and must not be under another order.
+func (s *State) writeMoves(moves []work.MachineOrder, by map[string]*Demand) {
 	write := ledger.Write{ID: s.NextWrite(), NotAfter: s.Role.Until, Expect: []ledger.Condition{s.fence()}}
 	for i := range moves {
 		key := orderKey(&moves[i])
-		write.Expect = append(write.Expect, ledger.Condition{Key: key})
+		maintenance := ledger.Key{Kind: ledger.KindMachineOrder, Name: moves[i].Machine}
+		conditions := []ledger.Condition{{Key: key}, {Key: maintenance, Revision: s.revision(maintenance)}}
+		if d := by[moves[i].Machine]; d != nil {
+			conditions = append(conditions, ledger.Condition{Key: ledger.Key{Kind: ledger.KindDemand, Name: d.Pool}, Revision: d.Revision})
+		}
+		for _, condition := range conditions {
+			if !slices.Contains(write.Expect, condition) {
+				write.Expect = append(write.Expect, condition)
+			}
+		}
 		write.Put = append(write.Put, ledger.Put{Key: key, Content: &moves[i]})
 		s.log(events.MachineMovePlanned, events.F("machine", moves[i].Machine), events.F("from", moves[i].Pool), events.F("to", moves[i].Target),
 			events.F("worker", moves[i].Worker))
 	}
 	if s.planned == nil {
-		s.planned = map[uint64]time.Time{}
+		s.planned = map[uint64][]work.MachineOrder{}
 	}
-	s.planned[write.ID] = tick.Now
+	s.planned[write.ID] = moves
 	s.Writes.Add(write)
 }
 
+// revision returns the last known revision of an order's record, or 0.
+func (s *State) revision(key ledger.Key) int64 {
+	if id, ok := s.orderByKey.Get(key); ok {
+		return s.Orders.Get(id).Revision
+	}
+	return 0
+}
+
+// movesPlanned records the answer to a plan.
+func (s *State) movesPlanned(tick engine.Tick, moves []work.MachineOrder, result ledger.WriteResult) {
+	if result.Outcome != ledger.Applied {
+		s.nextPlan = tick.Now.Add(retryWrite)
+		s.seen(tick.Now, result)
+		return
+	}
+	for i := range moves {
+		s.OrderSeen(ledger.Seen{Key: orderKey(&moves[i]), Content: &moves[i], Revision: result.Revision})
+	}
+}
+
 // orderMoves gives the orders for machines on which nothing runs.
 func orderMoves(s *State, tick engine.Tick) {
 	if !s.commands(tick.Now) || tick.Now.Before(s.Role.FleetSince.Add(s.OrderTurn)) {
 		return
 	}
 	for id, o := range s.Orders.All() {
-		if o.Target == "" || o.State != work.MachineIdle || o.calling || o.saving != 0 || tick.Now.Before(o.retryAt) {
+		if o.Target == "" || o.State != work.MachineIdle || o.calling || tick.Now.Before(o.retryAt) {
 			continue
 		}
 		o.calling = true
@@ -207,21 +275,38 @@
 	}
 }
 
-// removeMoves deletes the records of finished moves.
+// removeMoves deletes the records of finished moves, many at once.
 func removeMoves(s *State, tick engine.Tick) {
-	if !s.commands(tick.Now) {
+	if !s.commands(tick.Now) || len(s.removing) > 0 || tick.Now.Before(s.nextRemoval) {
 		return
 	}
+	write := ledger.Write{ID: s.NextWrite(), NotAfter: s.Role.Until, Expect: []ledger.Condition{s.fence()}}
 	for _, o := range s.Orders.All() {
-		if o.Target == "" || o.State != work.MachineDone || o.saving != 0 || tick.Now.Before(o.retryAt) {
+		if o.Target == "" || o.State != work.MachineDone || write.Entries()+2 > maxEntries {
 			continue
 		}
-		write := ledger.Write{
-			ID: s.NextWrite(), NotAfter: s.Role.Until,
-			Expect: []ledger.Condition{s.fence(), {Key: orderKey(&o.MachineOrder), Revision: o.Revision}},
-			Delete: []ledger.Key{orderKey(&o.MachineOrder)},
-		}
-		o.saving = write.ID
-		s.Writes.Add(write)
+		key := orderKey(&o.MachineOrder)
+		write.Expect = append(write.Expect, ledger.Condition{Key: key, Revision: o.Revision})
+		write.Delete = append(write.Delete, key)
+	}
+	if len(write.Delete) == 0 {
+		return
+	}
+	if s.removing == nil {
+		s.removing = map[uint64][]ledger.Key{}
+	}
+	s.removing[write.ID] = write.Delete
+	s.Writes.Add(write)
+}
+
+// movesRemoved records the answer to a deletion.
+func (s *State) movesRemoved(tick engine.Tick, keys []ledger.Key, result ledger.WriteResult) {
+	if result.Outcome != ledger.Applied {
+		s.nextRemoval = tick.Now.Add(retryWrite)
+		s.seen(tick.Now, result)
+		return
+	}
+	for _, key := range keys {
+		s.OrderSeen(ledger.Seen{Key: key, Deleted: true, Revision: result.Revision})
 	}
 }
--- a/machines/orders.go
+++ b/machines/orders.go
@@ -15,6 +15,7 @@
 	work.MachineOrder
 	Revision int64
 	saving   uint64
+	saved    *work.MachineOrder // what is being written; nil for a deletion
 	retryAt  time.Time
 	calling  bool
 	// orderedAt is when this process saw the order as given.
@@ -75,7 +76,7 @@
 		ID: s.NextWrite(), Expect: []ledger.Condition{fence, {Key: key, Revision: o.Revision}},
 		Put: []ledger.Put{{Key: key, Content: &next}},
 	}
-	o.saving = write.ID
+	o.saving, o.saved = write.ID, &next
 	s.Writes.Add(write)
 }
 
@@ -121,7 +122,11 @@
 			// The worker was replaced meanwhile; its successor must be drained.
 			next.Worker, next.Pool, next.State = m.Worker, m.Pool, s.firstState(m)
 		}
-		if next != o.MachineOrder {
+		switch {
+		case next == o.MachineOrder:
+		case o.Target != "":
+			o.MachineOrder = next // its record is removed
+		default:
 			s.save(id, next, s.fence())
 		}
 	}
@@ -165,20 +170,28 @@
 	if o == nil {
 		return
 	}
+	if result == CallRefused {
+		if s.refused == nil {
+			s.refused = map[string]time.Time{}
+		}
+		s.refused[call.Machine] = tick.Now
+	}
 	next := o.MachineOrder
 	switch result {
 	case CallAccepted:
 		next.State = work.MachineOrdered
 	case CallRefused:
 		next.State = work.MachineDone
-		if s.refused == nil {
-			s.refused = map[string]time.Time{}
-		}
-		s.refused[call.Machine] = tick.Now
 	default:
 		o.calling, o.retryAt = false, tick.Now.Add(retryOrder)
 		return
 	}
+	if o.Target != "" {
+		// A repeated move of a machine that has moved has no effect, so that the
+		// state of a move need not be durable.
+		o.calling, o.State, o.orderedAt = false, next.State, tick.Now
+		return
+	}
 	// calling stays set until the state is durable, so that the machine counts
 	// as down.
 	if s.commands(tick.Now) {
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -46,6 +46,7 @@
 	SeenAt    time.Time
 	Status    StatusState
 	saving    uint64
+	chosen    []*work.MachineOrder // orders that are being written
 	retryAt   time.Time
 	completed bool // said to the operator
 }
@@ -112,9 +113,11 @@
 	listedAt     time.Time // when the last list was asked for
 	listing      bool
 	nextList     time.Time
-	changes      map[ledger.Key]int64 // last seen revision of an order
-	planned      map[uint64]time.Time // moves that are being written
+	changes      map[ledger.Key]int64           // last seen revision of an order
+	planned      map[uint64][]work.MachineOrder // moves that are being written
+	removing     map[uint64][]ledger.Key        // records of moves that are being deleted
 	nextPlan     time.Time
+	nextRemoval  time.Time
 	refused      map[string]time.Time // machines that the service would not move
 }
 
@@ -230,7 +233,7 @@
 		var chosen []work.Machine
 		for _, name := range w.Machines {
 			m, listed := s.machines[name]
-			if _, known := s.orderByKey.Get(ledger.Key{Kind: ledger.KindMachineOrder, Name: name}); !known && listed && m.State == work.MachineUp && !s.ordered(name) {
+			if _, known := s.orderByKey.Get(ledger.Key{Kind: ledger.KindMachineOrder, Name: name}); !known && listed && m.State == work.MachineUp && !s.ordered(name) && !s.planning(name) {
 				chosen = append(chosen, m)
 			}
 		}
@@ -262,10 +265,10 @@
 	}
 	for _, m := range machines {
 		key := ledger.Key{Kind: ledger.KindMachineOrder, Name: m.Name}
-		write.Expect = append(write.Expect, ledger.Condition{Key: key})
-		write.Put = append(write.Put, ledger.Put{Key: key, Content: &work.MachineOrder{
-			Machine: m.Name, Worker: m.Worker, Pool: m.Pool, Wave: w.Number, State: s.firstState(m),
-		}})
+		write.Expect = append(write.Expect, ledger.Condition{Key: key}, ledger.Condition{Key: ledger.Key{Kind: ledger.KindMachineMove, Name: m.Name}})
+		order := &work.MachineOrder{Machine: m.Name, Worker: m.Worker, Pool: m.Pool, Wave: w.Number, State: s.firstState(m)}
+		write.Put = append(write.Put, ledger.Put{Key: key, Content: order})
+		w.chosen = append(w.chosen, order)
 		s.log(events.MachineChosen, events.F("machine", m.Name), events.F("worker", m.Worker), events.F("pool", m.Pool), events.F("wave", w.Number))
 		if write.Entries() >= maxEntries {
 			break
@@ -337,25 +340,31 @@
 // WriteDone records the result of a write and reports whether it was one of
 // this package.
 func (s *State) WriteDone(tick engine.Tick, result ledger.WriteResult) bool {
-	if _, ok := s.planned[result.ID]; ok {
+	if moves, ok := s.planned[result.ID]; ok {
 		delete(s.planned, result.ID)
-		if result.Outcome != ledger.Applied {
-			s.nextPlan = tick.Now.Add(retryWrite)
-			s.seen(result)
-		}
+		s.movesPlanned(tick, moves, result)
+		return true
+	}
+	if keys, ok := s.removing[result.ID]; ok {
+		delete(s.removing, result.ID)
+		s.movesRemoved(tick, keys, result)
 		return true
 	}
 	for _, w := range s.Waves.All() {
 		if w.saving != result.ID {
 			continue
 		}
-		w.saving = 0
+		chosen := w.chosen
+		w.saving, w.chosen = 0, nil
 		if result.Outcome != ledger.Applied {
 			w.retryAt = tick.Now.Add(retryWrite)
-			s.seen(result)
+			s.seen(tick.Now, result)
 			w.completed = false
 			return true
 		}
+		for _, order := range chosen {
+			s.OrderSeen(ledger.Seen{Key: orderKey(order), Content: order, Revision: result.Revision})
+		}
 		w.Status = StatusRunning
 		if w.completed {
 			w.Status = StatusCompleted
@@ -366,21 +375,30 @@
 		if o.saving != result.ID {
 			continue
 		}
-		o.saving = 0
+		saved := o.saved
+		o.saving, o.saved = 0, nil
 		if result.Outcome != ledger.Applied {
 			o.retryAt, o.calling = tick.Now.Add(retryWrite), false
-			s.seen(result)
+			s.seen(tick.Now, result)
+			return true
 		}
+		// Without the new revision at once, the systems would write again and
+		// meet a conflict until the watch shows the record.
+		key := orderKey(&o.MachineOrder)
+		s.OrderSeen(ledger.Seen{Key: key, Content: saved, Revision: result.Revision, Deleted: saved == nil})
 		return true
 	}
 	return false
 }
 
-func (s *State) seen(result ledger.WriteResult) {
+func (s *State) seen(now time.Time, result ledger.WriteResult) {
 	s.log(events.UpkeepNotSaved, events.F("outcome", result.Outcome.String()), events.Err(result.Err))
 	for _, seen := range result.Current {
-		if seen.Key.Kind == ledger.KindMachineOrder || seen.Key.Kind == ledger.KindMachineMove {
+		switch seen.Key.Kind {
+		case ledger.KindMachineOrder, ledger.KindMachineMove:
 			s.OrderSeen(seen)
+		case ledger.KindDemand:
+			s.DemandSeen(now, seen)
 		}
 	}
 }
--- a/work/records.go
+++ b/work/records.go
@@ -68,9 +68,11 @@
 // Demand is what the owner of a pool says about its machines.
 type Demand struct {
 	Need int // machines that the pool can use now
-	Have int // machines that are in use
-	// Spare lists workers that the pool can do without, the least busy first.
-	Spare []string
+	Have int // machines in the pool that are neither leaving nor under an order
+	// Released lists workers that the owner gives up, the least useful first.
+	// Nothing runs on them, and the owner starts nothing there before a later
+	// report without them is stored.
+	Released []string
 }
 
 // MachineOrder takes a machine out of its pool, for the maintenance of a wave
