--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/placement"
+	"github.com/waxwingbridge/waxwingbridge/work"
+)
+
+// BenchmarkBusySecond measures one second of decisions for a pool at its peak:
+// workers of 32 cores, and jobs that fill them with tasks of 640 ms on 3 cores.
+func BenchmarkBusySecond(b *testing.B) {
+	for _, workers := range []int{25, 80, 160} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			w := &world{}
+			w.init(nil)
+			for i := range workers {
+				f := w.addWorker(fmt.Sprintf("w%d", i))
+				f.Capacity = placement.Resources{MilliCores: 32000, MemoryMB: 64000}
+				entry := f.Worker
+				w.ledger.Revision++
+				w.s.WorkerSeen(w.now, &entry, w.ledger.Revision)
+			}
+			w.runTime = 640 * time.Millisecond
+			w.run(time.Second)
+			jobs := 0
+			second := func() {
+				for range 20 {
+					for range max(1, workers*15/13/20) {
+						jobs++
+						w.accept(&work.Job{
+							ID: fmt.Sprintf("j%d", jobs), Payload: "p", Limits: work.Limits{MaxFailures: 2, SlowdownFactor: 1.6, Latency: time.Second},
+							Steps: []work.Step{{Count: 13, Size: placement.Resources{MilliCores: 3000, MemoryMB: 2000}, Estimate: 640 * time.Millisecond}},
+						})
+					}
+					w.run(50 * time.Millisecond)
+				}
+			}
+			second()
+			b.ResetTimer()
+			for b.Loop() {
+				second()
+			}
+		})
+	}
+}
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -67,17 +67,22 @@
 }
 
 func newWorld(t *testing.T, workers ...string) *world {
-	w := &world{t: t, now: worldStart, ledger: &ledger.Ledger{}, workers: map[string]*fakeWorker{}, runTime: 300 * time.Millisecond, saved: map[string]*work.Progress{}}
-	nextWrite := func() uint64 { w.lastID++; return w.lastID }
-	w.s = New(Config{MaxLease: worldMaxLease, OwnerLease: 2500 * time.Millisecond}, w.ledger, nextWrite, func() time.Time { return w.now })
-	w.ledger.Synced, w.ledger.Revision = true, 10
-	w.token = 10
+	w := &world{}
+	w.init(t)
 	for _, id := range workers {
 		w.addWorker(id)
 	}
 	return w
 }
 
+func (w *world) init(t *testing.T) {
+	*w = world{t: t, now: worldStart, ledger: &ledger.Ledger{}, workers: map[string]*fakeWorker{}, runTime: 300 * time.Millisecond, saved: map[string]*work.Progress{}}
+	nextWrite := func() uint64 { w.lastID++; return w.lastID }
+	w.s = New(Config{MaxLease: worldMaxLease, OwnerLease: 2500 * time.Millisecond}, w.ledger, nextWrite, func() time.Time { return w.now })
+	w.ledger.Synced, w.ledger.Revision = true, 10
+	w.token = 10
+}
+
 func (w *world) addWorker(id string) *fakeWorker {
 	f := &fakeWorker{Worker: work.Worker{
 		ID: id, Born: 1, Pool: "pool", Address: id + ":1", Machine: "m-" + id, Rack: "r1-1",
