Divide large pools into partitions with an owner each

Ruled out: the decisions (BenchmarkBusySecond, 3% of a core) and the store. Sharing workers between owners was ruled out by the fencing token and the acknowledged ends, which a worker keeps once; a forwarding process for calls would have needed a protocol of its own.

The first owner of the fleet divides pools of more than 24 machines, once and durably; machines and jobs belong to a partition by hash, and moves keep to it.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -17,7 +17,7 @@
 	if l == nil || l.Spec == nil {
 		return
 	}
-	poolID, owned := s.poolByName.Get(l.Spec.Pool)
+	poolID, owned := s.poolByName.Get(s.Partitions.Duty(l.Spec.Pool, l.ID))
 	if !owned || !s.Pools.Get(poolID).Loaded {
 		return
 	}
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -132,15 +132,18 @@
 			s.Workers.Get(workerID).pool = id
 			continue
 		}
-		s.insertWorker(Worker{Worker: work.Worker{ID: contact.Worker, Address: contact.Address, Born: contact.Born, Pool: p.Name}, pool: id})
+		s.insertWorker(Worker{Worker: work.Worker{ID: contact.Worker, Address: contact.Address, Born: contact.Born, Pool: work.PoolOf(p.Name)}, pool: id})
 	}
 	for _, w := range s.Workers.All() {
-		if w.Pool == p.Name && w.Listed {
+		if w.Listed && s.partition(w) == p.Name {
 			w.pool = id
 		}
 	}
 }
 
+// partition names the partition that a worker belongs to.
+func (s *State) partition(w *Worker) string { return s.Partitions.Duty(w.Pool, w.Machine) }
+
 func (s *State) insertWorker(w Worker) table.ID {
 	w.acking = map[int64]struct{}{}
 	id := s.Workers.Insert(w)
--- a/dispatch/retention.go
+++ b/dispatch/retention.go
@@ -34,7 +34,7 @@
 			if len(write.Delete) == 3*maxRemovedJobs {
 				break
 			}
-			if j.Spec == nil || j.Spec.Pool != p.Name || j.FinishedAt.IsZero() || tick.Now.Sub(j.FinishedAt) < s.Config.Retention+retentionSlack {
+			if j.Spec == nil || s.Partitions.Duty(j.Spec.Pool, j.ID) != p.Name || j.FinishedAt.IsZero() || tick.Now.Sub(j.FinishedAt) < s.Config.Retention+retentionSlack {
 				continue
 			}
 			if _, running := s.jobByID.Get(j.ID); running {
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -17,10 +17,11 @@
 	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
-// Pool is a pool that this process owns or owned.
+// Pool is a partition of a pool that this process owns or owned; a small pool
+// is one partition.
 type Pool struct {
-	Name  string
-	Token int64 // fencing token of all orders
+	Name  string // of the partition
+	Token int64  // fencing token of all orders
 	Epoch int
 	Since time.Time // start of the ownership
 	// Until is the last moment at which an order may leave.
@@ -302,6 +303,8 @@
 type State struct {
 	Config Config
 	Ledger *ledger.Ledger
+	// Partitions tells which jobs and machines of a pool go together.
+	Partitions work.Partitions
 
 	Pools   table.Table[Pool]
 	Jobs    table.Table[Job]
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -36,7 +36,7 @@
 	if !w.Listed {
 		w.Listed, w.nextLook = true, now
 	}
-	if poolID, owned := s.poolByName.Get(w.Pool); owned {
+	if poolID, owned := s.poolByName.Get(s.partition(w)); owned {
 		w.pool = poolID
 		s.Pools.Get(poolID).place = true
 	}
--- a/entry/records.go
+++ b/entry/records.go
@@ -18,7 +18,7 @@
 var folders = map[ledger.Kind]string{
 	ledger.KindJob: "job", ledger.KindProgress: "progress", ledger.KindCancel: "cancel", ledger.KindOwner: "owner",
 	ledger.KindEpoch: "epoch", ledger.KindPeer: "peer", ledger.KindContacts: "contacts", ledger.KindMachineOrder: "machine",
-	ledger.KindMachineMove: "move", ledger.KindDemand: "demand",
+	ledger.KindMachineMove: "move", ledger.KindDemand: "demand", ledger.KindPartitions: "partitions",
 }
 
 func storeKey(key ledger.Key) string {
@@ -148,6 +148,8 @@
 		return owner, err
 	case ledger.KindDemand:
 		return decodeAs[work.Demand](value)
+	case ledger.KindPartitions:
+		return decodeAs[work.Partitions](value)
 	case ledger.KindMachineOrder, ledger.KindMachineMove:
 		order, err := decodeAs[work.MachineOrder](value)
 		if err == nil && order.Machine == "" {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -90,8 +90,8 @@
 	return s
 }
 
-// handDuties tells the parts what this process owns. The duty of a pool has
-// the pool's name.
+// handDuties tells the parts what this process owns. The duty of a partition
+// has its name.
 func handDuties(s *State, tick engine.Tick) {
 	var lost []string
 	for name, token := range s.Dispatch.Owned {
@@ -107,9 +107,10 @@
 		return
 	}
 	for i := range s.Manifest.Pools {
-		name := s.Manifest.Pools[i].Name
-		if token, epoch, _ := s.Ownership.Token(name, tick.Now); s.Ownership.Holds(name) {
-			s.Dispatch.Own(tick.Now, name, token, epoch, s.Ownership.ValidUntil)
+		for _, duty := range s.Machines.Partitions.Duties(s.Manifest.Pools[i].Name) {
+			if token, epoch, _ := s.Ownership.Token(duty, tick.Now); s.Ownership.Holds(duty) {
+				s.Dispatch.Own(tick.Now, duty, token, epoch, s.Ownership.ValidUntil)
+			}
 		}
 	}
 	token, _, owned := s.Ownership.Token(machines.Duty, tick.Now)
@@ -186,6 +187,11 @@
 		s.Machines.OrderSeen(seen)
 	case ledger.KindDemand:
 		s.Machines.DemandSeen(tick.Now, seen)
+	case ledger.KindPartitions:
+		if partitions, ok := seen.Content.(*work.Partitions); ok {
+			s.Dispatch.Partitions, s.Machines.Partitions = *partitions, *partitions
+			s.wantDuties(tick)
+		}
 	default:
 		s.Ledger.Apply(tick.Now, seen)
 	}
@@ -198,14 +204,24 @@
 		return
 	}
 	s.Manifest = m
+	s.wantDuties(tick)
+	s.Logs.Add(events.Record{Event: events.ManifestInForce, Fields: []events.Field{
+		events.F("version", m.Version), events.F("revision", revision), events.F("queues", len(m.Queues)), events.F("pools", len(m.Pools)),
+	}})
+}
+
+// wantDuties tells which duties need an owner. Pools have none before the
+// record of their partitions is seen, since two owners must not divide a pool
+// in different ways.
+func (s *State) wantDuties(tick engine.Tick) {
+	if s.Manifest == nil {
+		return
+	}
 	duties := []string{machines.Duty}
-	for i := range m.Pools {
-		if !m.Pools[i].Standby {
-			duties = append(duties, m.Pools[i].Name)
+	for i := range s.Manifest.Pools {
+		if !s.Manifest.Pools[i].Standby && s.Machines.Partitions != nil {
+			duties = append(duties, s.Machines.Partitions.Duties(s.Manifest.Pools[i].Name)...)
 		}
 	}
 	s.Ownership.Want(tick.Now, duties)
-	s.Logs.Add(events.Record{Event: events.ManifestInForce, Fields: []events.Field{
-		events.F("version", m.Version), events.F("revision", revision), events.F("queues", len(m.Queues)), events.F("pools", len(m.Pools)),
-	}})
 }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -126,6 +126,7 @@
 	UpkeepNotSaved      = Event{856, log.WarnLevel, "state of a maintenance could not be saved"}
 	MachineMovePlanned  = Event{857, log.InfoLevel, "move of a machine was planned"}
 	MachineMoveOrdered  = Event{858, log.InfoLevel, "move of a machine was ordered"}
+	PoolsDivided        = Event{859, log.InfoLevel, "pools were divided into partitions"}
 	ManifestInForce     = Event{860, log.InfoLevel, "manifest is in force"}
 	EntryInvalid        = Event{861, log.WarnLevel, "store entry cannot be decoded"}
 	LeaseCallFailed     = Event{862, log.WarnLevel, "call about the store lease failed"}
@@ -153,7 +154,7 @@
 		RunLost, RunAdopted, RunStopOrdered, RunHangs, FillerPaced, AdviceAnswered,
 		WorkerDraining, WorkerGone, WorkerLifeEnded, WorkerLapsed, OrderFenced, WorkerUnfit,
 		WorkerUnfitCapped, UpkeepWaveSeen, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, UpkeepWaveDone,
-		MachinesUnavailable, UpkeepNotSaved, ManifestInForce, EntryInvalid, LeaseCallFailed, SettingsReloaded,
+		MachinesUnavailable, UpkeepNotSaved, PoolsDivided, ManifestInForce, EntryInvalid, LeaseCallFailed, SettingsReloaded,
 		LogsDropped, WorkerUnreachable, MachineMovePlanned, MachineMoveOrdered,
 	}
 }
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -20,6 +20,7 @@
 	KindMachineOrder                 // *work.MachineOrder for a wave, by machine
 	KindMachineMove                  // *work.MachineOrder for a move, by machine
 	KindDemand                       // *work.Demand, by pool
+	KindPartitions                   // *work.Partitions, one record
 	KindWaveStatus                   // bool: completed, by wave number
 )
 
--- a/machines/machines_test.go
+++ b/machines/machines_test.go
@@ -41,7 +41,7 @@
 func newFleet(t *testing.T, pools map[string]int) *fleet {
 	f := &fleet{t: t, now: time.Unix(1000, 0), machines: map[string]*work.Machine{}, backAt: map[string]time.Time{}, busy: map[string]bool{}}
 	f.s = &State{
-		OrderTurn: 0, MachineReturn: returnTime,
+		OrderTurn: 0, MachineReturn: returnTime, Partitions: work.Partitions{},
 		Standby:     func(pool string) bool { return pool == "standby" },
 		StandbyPool: func() string { return "standby" },
 		Idle:        func(worker string, _ time.Time) (bool, bool) { return !f.busy[worker], true },
--- a/machines/moves.go
+++ b/machines/moves.go
@@ -29,8 +29,9 @@
 	refusedFor = 10 * time.Second
 )
 
-// Demand is the latest word of a pool's owner.
+// Demand is the latest word of a partition's owner.
 type Demand struct {
+	Duty string // name of the partition
 	Pool string
 	work.Demand
 	Revision int64
@@ -42,7 +43,7 @@
 func (s *State) DemandSeen(now time.Time, seen ledger.Seen) {
 	id, known := s.demandByPool.Get(seen.Key.Name)
 	if !known {
-		id = s.Demands.Insert(Demand{Pool: seen.Key.Name})
+		id = s.Demands.Insert(Demand{Duty: seen.Key.Name, Pool: work.PoolOf(seen.Key.Name)})
 		s.demandByPool.Put(seen.Key.Name, id)
 	}
 	d := s.Demands.Get(id)
@@ -65,7 +66,7 @@
 func (s *State) shortage(d *Demand) int {
 	short := d.Need - d.Have
 	for _, o := range s.Orders.All() {
-		if o.Target == d.Pool && o.State != work.MachineDone {
+		if o.Target == d.Pool && o.State != work.MachineDone && s.Partitions.Duty(o.Target, o.Machine) == d.Duty {
 			short--
 		}
 	}
@@ -125,7 +126,6 @@
 			free = append(free, s.releasedMachines(tick.Now, d)...)
 		}
 	}
-	given := len(free)
 	free = append(free, s.standbyMachines(tick.Now)...)
 	var moves []work.MachineOrder
 	by := map[string]*Demand{}
@@ -133,16 +133,15 @@
 		moves = append(moves, work.MachineOrder{Machine: m.Name, Worker: m.Worker, Pool: m.Pool, Target: target, State: work.MachineIdle})
 		by[m.Name] = m.by
 	}
-	used := 0
 	for _, d := range s.inTurn(short) {
-		if used == len(free) {
-			break
+		fits := func(m releasedMachine) bool { return s.Partitions.Duty(d.Pool, m.Name) == d.Duty }
+		if i := slices.IndexFunc(free, fits); i >= 0 {
+			take(free[i], d.Pool)
+			free = slices.Delete(free, i, i+1)
 		}
-		take(free[used], d.Pool)
-		used++
 	}
-	for _, m := range free[min(used, given):given] {
-		if s.unneeded(tick.Now, m.by, m.Worker) {
+	for _, m := range free {
+		if m.by != nil && s.unneeded(tick.Now, m.by, m.Worker) {
 			take(m, s.StandbyPool())
 		}
 	}
@@ -163,7 +162,7 @@
 	turns := make([]*Demand, 0, total)
 	for range total {
 		next := slices.MinFunc(short, func(a, b *Demand) int {
-			return cmp.Or(cmp.Compare(lack[b], lack[a]), cmp.Compare(a.Pool, b.Pool))
+			return cmp.Or(cmp.Compare(lack[b], lack[a]), cmp.Compare(a.Duty, b.Duty))
 		})
 		lack[next]--
 		turns = append(turns, next)
@@ -222,7 +221,7 @@
 		maintenance := ledger.Key{Kind: ledger.KindMachineOrder, Name: moves[i].Machine}
 		conditions := []ledger.Condition{{Key: key}, {Key: maintenance, Revision: s.revision(maintenance)}}
 		if d := by[moves[i].Machine]; d != nil {
-			conditions = append(conditions, ledger.Condition{Key: ledger.Key{Kind: ledger.KindDemand, Name: d.Pool}, Revision: d.Revision})
+			conditions = append(conditions, ledger.Condition{Key: ledger.Key{Kind: ledger.KindDemand, Name: d.Duty}, Revision: d.Revision})
 		}
 		for _, condition := range conditions {
 			if !slices.Contains(write.Expect, condition) {
--- a/machines/orders.go
+++ b/machines/orders.go
@@ -56,14 +56,15 @@
 		if o.State != work.MachineDraining || o.saving != 0 || tick.Now.Before(o.retryAt) {
 			continue
 		}
-		token, owned := s.PoolToken(o.Pool, tick.Now)
+		duty := s.Partitions.Duty(o.Pool, o.Machine)
+		token, owned := s.PoolToken(duty, tick.Now)
 		if !owned {
 			continue
 		}
 		if idle, known := s.Idle(o.Worker, tick.Now); idle && known {
 			next := o.MachineOrder
 			next.State = work.MachineIdle
-			s.save(id, next, ledger.Condition{Key: ledger.Key{Kind: ledger.KindOwner, Name: o.Pool}, Revision: token})
+			s.save(id, next, ledger.Condition{Key: ledger.Key{Kind: ledger.KindOwner, Name: duty}, Revision: token})
 		}
 	}
 }
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -87,7 +87,9 @@
 	// MachineReturn is how long a machine is down for its maintenance.
 	MachineReturn time.Duration
 	Role          Role
-	Standby       func(pool string) bool
+	// Partitions tells how pools are divided; nil until that is decided.
+	Partitions work.Partitions
+	Standby    func(pool string) bool
 	// StandbyPool returns the pool whose machines are off, or "".
 	StandbyPool func() string
 	// Idle reports whether nothing runs on a worker of an owned pool.
@@ -118,6 +120,8 @@
 	removing     map[uint64][]ledger.Key        // records of moves that are being deleted
 	nextPlan     time.Time
 	nextRemoval  time.Time
+	dividing     uint64 // write of the partitions in flight
+	divideAt     time.Time
 	refused      map[string]time.Time // machines that the service would not move
 }
 
@@ -125,6 +129,7 @@
 var Systems = []engine.System[State]{
 	{Name: "hand over idle machines", Run: handOver},
 	{Name: "list machines", Run: listMachines},
+	{Name: "divide pools", Run: dividePools},
 	{Name: "follow machines", Run: followMachines},
 	{Name: "choose machines", Run: chooseMachines},
 	{Name: "plan moves", Run: planMoves},
@@ -187,7 +192,7 @@
 }
 
 func listMachines(s *State, tick engine.Tick) {
-	if !s.commands(tick.Now) || (!s.open() && !s.moving(tick.Now)) || s.listing || tick.Now.Before(s.nextList) {
+	if !s.commands(tick.Now) || (!s.open() && !s.moving(tick.Now) && s.Partitions != nil) || s.listing || tick.Now.Before(s.nextList) {
 		return
 	}
 	s.listing, s.nextList, s.listedAt = true, tick.Now.Add(listEvery), tick.Now
@@ -340,6 +345,10 @@
 // WriteDone records the result of a write and reports whether it was one of
 // this package.
 func (s *State) WriteDone(tick engine.Tick, result ledger.WriteResult) bool {
+	if s.dividing != 0 && result.ID == s.dividing {
+		s.dividing, s.divideAt = 0, tick.Now.Add(retryWrite) // the watch shows the record
+		return true
+	}
 	if moves, ok := s.planned[result.ID]; ok {
 		delete(s.planned, result.ID)
 		s.movesPlanned(tick, moves, result)
--- /dev/null
+++ b/work/partitions.go
@@ -0,0 +1,69 @@
+package work
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Partitions tells into how many partitions the machines and jobs of each pool
+// are divided; pools that are not listed have one. Each partition has an owner
+// of its own, so that no machine carries a large pool alone. The numbers are
+// powers of two.
+type Partitions map[string]int
+
+const (
+	// maxPartitionMachines is the size up to which a pool stays whole. The
+	// owner of 60 machines on 0.4 cores falls behind at a peak; pools grow to
+	// twice their size in their turn of the demand.
+	maxPartitionMachines = 24
+	partitionSeparator   = "#"
+)
+
+// PartitionsFor divides pools of the given numbers of machines.
+func PartitionsFor(machines map[string]int) Partitions {
+	p := Partitions{}
+	for pool, n := range machines {
+		parts := 1
+		for n > parts*maxPartitionMachines {
+			parts *= 2
+		}
+		if parts > 1 {
+			p[pool] = parts
+		}
+	}
+	return p
+}
+
+// Duty names the partition of a pool that a job, by its ID, or a machine, by
+// its name, belongs to.
+func (p Partitions) Duty(pool, key string) string {
+	parts := p[pool]
+	if parts <= 1 {
+		return pool
+	}
+	return partitionName(pool, int(xxhash.Sum64String(key)%uint64(parts)))
+}
+
+// Duties names all partitions of a pool.
+func (p Partitions) Duties(pool string) []string {
+	if p[pool] <= 1 {
+		return []string{pool}
+	}
+	names := make([]string, p[pool])
+	for i := range names {
+		names[i] = partitionName(pool, i)
+	}
+	return names
+}
+
+func partitionName(pool string, part int) string {
+	return pool + partitionSeparator + strconv.Itoa(part)
+}
+
+// PoolOf returns the pool of a partition.
+func PoolOf(duty string) string {
+	pool, _, _ := strings.Cut(duty, partitionSeparator)
+	return pool
+}
