Gather lasting tasks, release machines sooner, count only workers that answer

Ruled out: the plans themselves (a released machine is ordered within 70 ms) and the limit on machine calls.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -25,8 +25,12 @@
 	// fillTarget is the part of a machine that placement can fill with tasks
 	// of mixed sizes.
 	fillTarget = 0.85
-	// needWindow is how long a need is remembered, at least.
-	needWindow = 800 * time.Millisecond
+	// demandRelease is the shortest interval between two reports that release
+	// more machines: another pool may lack them.
+	demandRelease = 160 * time.Millisecond
+	// needWindow is how long a need is remembered, at least. Machines that are
+	// given up by mistake are reclaimed with one report.
+	needWindow = 300 * time.Millisecond
 	// lateShare is how much of the work of late jobs counts as need: they earn
 	// little, but must be done.
 	lateShare = 0.25
@@ -85,7 +89,7 @@
 			s.writeDemand(tick.Now, id, work.Demand{Need: leastMachines, Have: leastMachines}, nil)
 			continue
 		}
-		have := s.poolWorkers(id)
+		have := s.poolWorkers(tick.Now, id)
 		demand := work.Demand{Need: s.need(tick.Now, p, have), Have: len(have)}
 		reclaim := s.adjust(p, have, demand.Need+reserve)
 		for _, workerID := range have {
@@ -104,6 +108,9 @@
 	if len(reclaim) > 0 || (demand.Need > demand.Have && demand.Need-demand.Have > old.Need-old.Have) {
 		return true
 	}
+	if len(demand.Released) > len(old.Released) && !now.Before(p.demandAt.Add(demandRelease)) {
+		return true
+	}
 	if now.Before(p.demandAt.Add(demandEvery)) {
 		return false
 	}
@@ -133,6 +140,9 @@
 		}
 	}
 	s.Out.Writes.Add(write)
+	s.log(events.DemandReported, events.F("pool", p.Name), events.F("need", demand.Need), events.F("have", demand.Have),
+		events.F("released", len(demand.Released)), events.F("reclaimed", len(reclaim)), events.F("waiting_stages", len(p.ready)),
+		events.F("inflow_cores", int(p.inflow(now))))
 }
 
 // demandSaved records the answer to a report. Workers that it no longer
@@ -156,12 +166,17 @@
 	}
 }
 
-// poolWorkers returns the workers of a pool that neither leave nor are under
-// an order.
-func (s *State) poolWorkers(pool table.ID) []table.ID {
+// lostLooks is the number of unanswered looks in a row after which a worker is
+// no longer counted; the registry keeps workers that left for some seconds.
+const lostLooks = 2
+
+// poolWorkers returns the workers of a pool that answer, and neither leave nor
+// are under an order.
+func (s *State) poolWorkers(now time.Time, pool table.ID) []table.ID {
 	var have []table.ID
 	for id, w := range s.Workers.All() {
-		if w.pool == pool && w.Listed && !w.Draining && !w.maintenance {
+		answers := w.fenced && w.failedLook < lostLooks && now.Sub(w.lookedAt) < reachableFor
+		if w.pool == pool && w.Listed && answers && !w.Draining && !w.maintenance {
 			have = append(have, id)
 		}
 	}
@@ -197,7 +212,23 @@
 	}
 	wanted := max(float64(busy), p.inflow(now)*1000)
 	perMachine := float64(cores) / float64(len(have)) * fillTarget
-	return s.smoothNeed(now, p, max(int(math.Ceil(wanted/max(1, perMachine))), lasting+reserve, leastMachines))
+	return s.smoothNeed(now, p, max(int(math.Ceil(wanted/max(1, perMachine))), lasting+reserve, s.spread(p)+reserve, leastMachines))
+}
+
+// spread returns how many workers the lasting steps of a pool need by their
+// limits per worker.
+func (s *State) spread(p *Pool) int {
+	workers := 0
+	for _, id := range p.lasting {
+		if j := s.Jobs.Get(id); j != nil && j.Final == 0 {
+			for i := range j.Spec.Steps {
+				if step := &j.Spec.Steps[i]; step.Lasting {
+					workers = max(workers, step.Spread())
+				}
+			}
+		}
+	}
+	return workers
 }
 
 func (s *State) hostsLasting(w *Worker) bool {
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -59,6 +59,10 @@
 	}
 	j := s.Jobs.Get(id)
 	j.stages, j.unfinished = stages, len(stages)
+	if slices.ContainsFunc(spec.Steps, func(step work.Step) bool { return step.Lasting }) {
+		p := s.Pools.Get(poolID)
+		p.lasting = append(p.lasting, id)
+	}
 	s.setObjective(tick, j)
 	if l.Progress != nil {
 		for i := range l.Progress.Stages {
@@ -303,6 +307,9 @@
 		s.due.Remove(stageID)
 		s.Stages.Delete(stageID)
 	}
+	if p := s.Pools.Get(j.Pool); p != nil {
+		p.lasting = slices.DeleteFunc(p.lasting, func(other table.ID) bool { return other == id })
+	}
 	s.jobByID.Delete(j.Spec.ID)
 	s.Jobs.Delete(id)
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -127,6 +127,7 @@
 	id      table.ID
 	w       *Worker
 	free    placement.Resources
+	lasting int
 	serving int // lasting tasks with a latency target
 	fillers int
 }
@@ -154,6 +155,9 @@
 }
 
 func (c *candidate) count(step *work.Step, n int) {
+	if step.Lasting {
+		c.lasting += n
+	}
 	if step.LatencyTarget > 0 {
 		c.serving += n
 	}
@@ -273,7 +277,7 @@
 		return false
 	case step.Label != "" && !slices.Contains(c.w.Labels, step.Label):
 		return false
-	case step.MaxPerWorker > 0 && stage.perWorker[c.id] >= step.MaxPerWorker:
+	case step.WorkerLimit() > 0 && stage.perWorker[c.id] >= step.WorkerLimit():
 		return false
 	case t.Avoid == c.id && !step.Lasting:
 		return false
@@ -282,7 +286,8 @@
 }
 
 // score prefers workers near the data, then a separation of serving tasks from
-// fillers, then the least loaded.
+// fillers, then the least loaded. Lasting tasks gather on few workers, since a
+// worker that hosts one can't be switched off.
 func (c *candidate) score(step *work.Step, t *Task) float64 {
 	score := float64(c.free.MilliCores) / float64(max(1, c.w.Capacity.MilliCores))
 	if step.Rack != "" && c.w.Rack == step.Rack {
@@ -291,7 +296,14 @@
 	if (step.Fills && c.serving > 0) || (step.LatencyTarget > 0 && c.fillers > 0) {
 		score -= 2
 	}
-	if t.Avoid == c.id {
+	if step.Lasting && c.lasting > 0 {
+		score += 1.5
+	}
+	switch {
+	case t.Avoid != c.id:
+	case step.Lasting: // may fail at any time through no fault of the worker
+		score -= 0.3
+	default:
 		score -= 8
 	}
 	return score - c.w.suspicion
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -51,8 +51,9 @@
 	demandRetry      time.Time
 	reported         int64 // revision of this owner's first report; 0 before
 	arrivals         []arrival
-	need             int // highest of the present window
-	lastNeed         int // of the window before
+	lasting          []table.ID // jobs with lasting steps
+	need             int        // highest of the present window
+	lastNeed         int        // of the window before
 	needAt           time.Time
 	place            bool // something changed since the last placement
 }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -101,6 +101,7 @@
 	WorkFinished        = Event{820, log.InfoLevel, "job reached its final state"}
 	ProgressNotSaved    = Event{821, log.WarnLevel, "progress could not be saved"}
 	DemandNotSaved      = Event{822, log.WarnLevel, "need of a pool could not be saved"}
+	DemandReported      = Event{823, log.InfoLevel, "need of a pool was reported"}
 	RunOrdered          = Event{830, log.InfoLevel, "run was ordered"}
 	StartRefused        = Event{831, log.WarnLevel, "start was not accepted"}
 	RunEnded            = Event{832, log.InfoLevel, "run ended"}
@@ -150,7 +151,7 @@
 		JobFinished, JobUnknown, JobParked, JobFailed, WorkerQuarantined, WorkerReleased, PowerCapThrottling, JobPreempted,
 		QuarantineCapped,
 		RequestAnswered, RequestNotServed, RequestsNotWritten, PoolOwned, PoolLost, PoolLoaded,
-		PoolSettled, WorkFinished, ProgressNotSaved, DemandNotSaved, RunOrdered, StartRefused, RunEnded,
+		PoolSettled, WorkFinished, ProgressNotSaved, DemandNotSaved, DemandReported, RunOrdered, StartRefused, RunEnded,
 		RunLost, RunAdopted, RunStopOrdered, RunHangs, FillerPaced, AdviceAnswered,
 		WorkerDraining, WorkerGone, WorkerLifeEnded, WorkerLapsed, OrderFenced, WorkerUnfit,
 		WorkerUnfitCapped, UpkeepWaveSeen, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, UpkeepWaveDone,
--- a/machines/moves.go
+++ b/machines/moves.go
@@ -73,6 +73,17 @@
 	return short
 }
 
+// countWait is how long the owner of the target pool may take to count a
+// machine that has come.
+const countWait = time.Second
+
+// counted reports whether the target pool's owner has reported since the
+// machine came. Until then the order counts as a machine on its way.
+func (s *State) counted(now time.Time, o *Order) bool {
+	id, ok := s.demandByPool.Get(s.Partitions.Duty(o.Target, o.Machine))
+	return !ok || s.Demands.Get(id).SeenAt.After(o.backAt) || now.Sub(o.backAt) > countWait
+}
+
 // moving reports whether machines must be known for moves.
 func (s *State) moving(now time.Time) bool {
 	for _, d := range s.Demands.All() {
--- a/machines/orders.go
+++ b/machines/orders.go
@@ -20,6 +20,7 @@
 	calling  bool
 	// orderedAt is when this process saw the order as given.
 	orderedAt time.Time
+	backAt    time.Time // when a list showed the machine in its target pool
 }
 
 // OrderSeen records a durable order.
@@ -126,7 +127,12 @@
 		switch {
 		case next == o.MachineOrder:
 		case o.Target != "":
-			o.MachineOrder = next // its record is removed
+			if o.backAt.IsZero() {
+				o.backAt = tick.Now
+			}
+			if s.counted(tick.Now, o) {
+				o.MachineOrder = next // its record is removed
+			}
 		default:
 			s.save(id, next, s.fence())
 		}
--- a/work/job.go
+++ b/work/job.go
@@ -125,6 +125,28 @@
 	return size
 }
 
+// lastingWorkers is the least number of workers on which a lasting step is
+// spread, so that the loss of one takes a part of it only.
+const lastingWorkers = 3
+
+// WorkerLimit returns how many tasks of the step may run on one worker; 0 means
+// unlimited.
+func (s *Step) WorkerLimit() int {
+	if s.Lasting && s.MaxPerWorker == 0 {
+		return (s.Count + lastingWorkers - 1) / lastingWorkers
+	}
+	return s.MaxPerWorker
+}
+
+// Spread returns how many workers the step needs to run all of its tasks at
+// the same time, by their limit per worker.
+func (s *Step) Spread() int {
+	if limit := s.WorkerLimit(); limit > 0 {
+		return (s.Count + limit - 1) / limit
+	}
+	return 1
+}
+
 // Validate reports a job that can't be run as described.
 func (j *Job) Validate() error {
 	if len(j.Steps) == 0 {
