End the lives that machines left behind; released workers are no contacts

Until then no task of an older job starts. Ruled out: the lease of the former owner (2.5 s) and the load of the new one.

A registry entry of a later life of the machine now ends the earlier one, for contacts and for running tasks alike, and released workers are left out of the contacts; they are written again before a reclaimed one is used. The two tests of earlier lives fail without the change.

--- a/dispatch/demand_test.go
+++ b/dispatch/demand_test.go
@@ -184,3 +184,26 @@
 		t.Errorf("the report counts %d workers, 2 answer", w.demand.Have)
 	}
 }
+
+// Guards against a takeover that waits for released workers: they left, or may
+// leave at any moment, and nothing ran on them.
+func TestReleasedWorkersAreNoContacts(t *testing.T) {
+	w := idleWorld(t)
+	for _, contact := range w.contacts {
+		if slices.Contains(w.demand.Released, contact.Worker) {
+			t.Fatalf("%s is released and among the contacts", contact.Worker)
+		}
+	}
+	w.observe = func(task work.TaskName) {
+		for id, f := range w.workers {
+			if len(f.started) > 0 && !slices.ContainsFunc(w.contacts, func(c work.Contact) bool { return c.Worker == id }) {
+				t.Errorf("%s was started on %s, which is not among the stored contacts", task, id)
+			}
+		}
+	}
+	w.accept(job(step(60)))
+	w.run(2 * time.Second)
+	if len(w.startedOn()) <= leastMachines+reserve {
+		t.Errorf("tasks were started on %v only", w.startedOn())
+	}
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -336,3 +336,49 @@
 		t.Errorf("after %d more starts the saved progress is %+v, want failed without a start", w.starts(task), saved)
 	}
 }
+
+// Guards against tasks that wait for the lease of a worker whose machine has
+// begun a new life: nothing of the earlier one can run.
+func TestNewLifeOfAMachineEndsTheEarlierOne(t *testing.T) {
+	w := newWorld(t, "a")
+	w.runTime = 0
+	w.accept(job(step(1)))
+	w.run(500 * time.Millisecond)
+	if n := w.starts(work.TaskName{Job: "j1"}); n != 1 {
+		t.Fatalf("the task was started %d times", n)
+	}
+	w.workers["a"].silent = true
+	next := w.addWorker("b")
+	next.Machine, next.Born = "m-a", 2
+	entry := next.Worker
+	w.ledger.Revision++
+	w.s.WorkerSeen(w.now, &entry, w.ledger.Revision)
+	w.run(time.Second)
+	if n := w.starts(work.TaskName{Job: "j1"}); n != 2 {
+		t.Errorf("the task was started %d times, want once in each life", n)
+	}
+}
+
+// Guards against a takeover that waits 8 s for a worker which left when its
+// machine moved: the machine's present worker proves that it is gone.
+func TestTakeoverNeedNotWaitForEarlierLives(t *testing.T) {
+	w := newWorld(t, "a")
+	gone := w.addWorker("c")
+	gone.silent = true
+	next := w.addWorker("d")
+	next.Machine, next.Born, next.Pool = "m-c", 2, "other"
+	w.accept(job(step(1)))
+	w.s.ContactsSeen(ledger.Seen{
+		Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
+		Content: []work.Contact{{Worker: "a", Machine: "m-a", Address: "a:1", Born: 1}, {Worker: "c", Machine: "m-c", Address: "c:1", Born: 1}},
+	})
+	entry := next.Worker
+	w.ledger.Revision++
+	w.s.WorkerSeen(w.now, &entry, w.ledger.Revision)
+	w.ledger.Revision++
+	w.token = w.ledger.Revision
+	w.run(time.Second)
+	if n := w.starts(work.TaskName{Job: "j1"}); n != 1 {
+		t.Errorf("the task was started %d times within a second, want 1", n)
+	}
+}
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
@@ -128,11 +129,14 @@
 	p.contactsRevision = seen.Revision
 	p.Contacts, _ = seen.Content.([]work.Contact)
 	for _, contact := range p.Contacts {
+		if s.lives[contact.Machine] > contact.Born {
+			continue // its machine began a new life, so nothing of this one runs
+		}
 		if workerID, ok := s.workerByID.Get(contact.Worker); ok {
 			s.Workers.Get(workerID).pool = id
 			continue
 		}
-		s.insertWorker(Worker{Worker: work.Worker{ID: contact.Worker, Address: contact.Address, Born: contact.Born, Pool: work.PoolOf(p.Name)}, pool: id})
+		s.insertWorker(Worker{Worker: work.Worker{ID: contact.Worker, Machine: contact.Machine, Address: contact.Address, Born: contact.Born, Pool: work.PoolOf(p.Name)}, pool: id})
 	}
 	for _, w := range s.Workers.All() {
 		if w.Listed && s.partition(w) == p.Name {
@@ -189,6 +193,9 @@
 		if !missing && !stale {
 			continue
 		}
+		for _, w := range s.Workers.All() { // those that are left out must be written again before a start
+			w.saved = w.saved && (w.pool != id || slices.ContainsFunc(contacts, func(c work.Contact) bool { return c.Worker == w.ID }))
+		}
 		p.contactsAt = tick.Now
 		p.contactsWrite = s.NextWrite()
 		s.writes[p.contactsWrite] = writeTarget{pool: id, contacts: contacts}
@@ -207,11 +214,11 @@
 // them is not among the saved ones.
 func (s *State) contacts(id table.ID) (contacts []work.Contact, missing bool) {
 	for _, w := range s.Workers.All() {
-		if w.pool != id || (!w.Listed && w.fenced && len(w.runs) == 0) {
+		if w.pool != id || (len(w.runs) == 0 && (w.released || !w.Listed && w.fenced)) {
 			continue
 		}
 		missing = missing || (!w.saved && w.Listed && w.fenced)
-		contacts = append(contacts, work.Contact{Worker: w.ID, Address: w.Address, Born: w.Born})
+		contacts = append(contacts, work.Contact{Worker: w.ID, Machine: w.Machine, Address: w.Address, Born: w.Born})
 	}
 	return contacts, missing
 }
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -323,6 +323,7 @@
 	poolByName   table.Index[string]
 	jobByID      table.Index[string]
 	workerByID   table.Index[string]
+	lives        map[string]int64 // start of the latest life of a machine, Unix milliseconds
 	contactsSeen map[string]ledger.Seen
 	writes       map[uint64]writeTarget
 	due          table.Heap[time.Time] // stages that wait for their time
@@ -342,7 +343,7 @@
 func New(config Config, jobs *ledger.Ledger, nextWrite func() uint64, timeOfDay func() time.Time) *State {
 	return &State{
 		Config: config, Ledger: jobs, NextWrite: nextWrite, TimeOfDay: timeOfDay,
-		contactsSeen: map[string]ledger.Seen{}, writes: map[uint64]writeTarget{},
+		contactsSeen: map[string]ledger.Seen{}, lives: map[string]int64{}, writes: map[uint64]writeTarget{},
 	}
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -12,6 +12,7 @@
 
 // WorkerSeen records a worker's entry in the registry.
 func (s *State) WorkerSeen(now time.Time, entry *work.Worker, revision int64) {
+	s.endEarlierLives(now, entry)
 	id, known := s.workerByID.Get(entry.ID)
 	if !known {
 		id = s.insertWorker(Worker{Worker: *entry, revision: revision})
@@ -42,6 +43,26 @@
 	}
 }
 
+// endEarlierLives gives up what ran on a machine before its present worker. The
+// worker of the earlier life answers nothing any more, and need not be waited
+// for.
+func (s *State) endEarlierLives(now time.Time, entry *work.Worker) {
+	if entry.Machine == "" || entry.Born <= s.lives[entry.Machine] {
+		return
+	}
+	s.lives[entry.Machine] = entry.Born
+	for id, w := range s.Workers.All() {
+		if w.Machine != entry.Machine || w.ID == entry.ID || w.Born >= entry.Born {
+			continue
+		}
+		s.endLife(now, id, w.Born)
+		w.fenced, w.lookedAt = true, time.Time{}
+		if w.Listed {
+			w.nextLook = now.Add(idleLookWait)
+		}
+	}
+}
+
 // WorkerGone records that a worker's entry was removed. Its runs may go on
 // until their lease lapses.
 func (s *State) WorkerGone(id string, revision int64) {
--- a/work/records.go
+++ b/work/records.go
@@ -50,6 +50,7 @@
 // which a new owner reaches it.
 type Contact struct {
 	Worker  string
+	Machine string
 	Address string
 	Born    int64
 }
