Bound starts in flight, back off stops; lasting tasks leave machines that are due

Ruled out: the change of the owner, and the acknowledgement of ends itself, which was right.

A pool has at most 96 starts in flight, 8 on a worker, and a stop without effect is repeated after 0.5, 1, 2 and 4 s. TestStartsInFlightAreBounded and TestStopsBackOff fail without the change.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -290,15 +290,21 @@
 	return reclaim
 }
 
-// byUse orders workers by what runs there, those that were released first.
+// byUse orders workers by what runs there. Those that were released come first,
+// then those whose machine has a maintenance to come.
 func (s *State) byUse(a, b table.ID) int {
 	x, y := s.Workers.Get(a), s.Workers.Get(b)
-	order := 0
-	if x.released != y.released {
-		order = 1
-		if x.released {
-			order = -1
-		}
+	return cmp.Or(first(x.released, y.released), first(x.due, y.due), cmp.Compare(x.used.MilliCores, y.used.MilliCores), cmp.Compare(x.ID, y.ID))
+}
+
+// first orders what is true before what is not.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
 	}
-	return cmp.Or(order, cmp.Compare(x.used.MilliCores, y.used.MilliCores), cmp.Compare(x.ID, y.ID))
 }
--- a/dispatch/demand_test.go
+++ b/dispatch/demand_test.go
@@ -207,3 +207,38 @@
 		t.Errorf("tasks were started on %v only", w.startedOn())
 	}
 }
+
+// Guards against lasting tasks that hold up the end of a wave: they leave
+// machines whose maintenance is to come early, and don't start on them again.
+func TestLastingTasksLeaveMachinesThatAreDue(t *testing.T) {
+	w := idleWorld(t)
+	w.runTime = 0
+	w.accept(job(lastingStep(3, 1)))
+	w.run(time.Second)
+	hosts := w.startedOn()
+	due := map[string]bool{}
+	for _, id := range hosts {
+		due[w.workers[id].Machine] = true
+	}
+	w.s.SetDue(due)
+	w.accept(&work.Job{ID: "j2", Payload: "p", Steps: []work.Step{step(60)}, Limits: work.Limits{MaxFailures: 2, SlowdownFactor: 2}}) // keeps more workers
+	w.run(4 * time.Second)
+	for _, id := range hosts {
+		for _, r := range w.workers[id].running {
+			if r.task.Job == "j1" {
+				t.Errorf("%s still runs on %s, whose maintenance is to come", r.task, id)
+			}
+		}
+	}
+	running := 0
+	for _, f := range w.workers {
+		for _, r := range f.running {
+			if r.task.Job == "j1" {
+				running++
+			}
+		}
+	}
+	if running != 3 {
+		t.Errorf("%d of 3 lasting tasks run", running)
+	}
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
@@ -382,3 +384,65 @@
 		t.Errorf("the task was started %d times within a second, want 1", n)
 	}
 }
+
+// Guards against a collapse under load: an owner that orders more starts than
+// it can send within their time limit takes all of them for unanswered, and
+// stops them again and again.
+func TestStartsInFlightAreBounded(t *testing.T) {
+	var names []string
+	for i := range 30 {
+		names = append(names, fmt.Sprintf("w%02d", i))
+	}
+	w := newWorld(t, names...)
+	for _, id := range names {
+		f := w.workers[id]
+		f.Capacity = placement.Resources{MilliCores: 32000, MemoryMB: 64000}
+		entry := f.Worker
+		w.ledger.Revision++
+		w.s.WorkerSeen(w.now, &entry, w.ledger.Revision)
+	}
+	w.run(200 * time.Millisecond)
+	inFlight := map[string]int{}
+	total := 0
+	w.intercept = func(o StartOrder) (StartAnswer, bool) {
+		inFlight[o.Target.ID]++
+		total++
+		return 0, true // no answer yet
+	}
+	big := job(step(1000))
+	w.accept(big)
+	w.run(500 * time.Millisecond)
+	if total > maxStartsInFlight {
+		t.Errorf("%d starts are in flight, the bound is %d", total, maxStartsInFlight)
+	}
+	for id, n := range inFlight {
+		if n > maxStartsPerWorker {
+			t.Errorf("%d starts are in flight to %s, the bound is %d", n, id, maxStartsPerWorker)
+		}
+	}
+}
+
+// Guards against stops that are repeated at the same rate for as long as an
+// owner is short of processor time.
+func TestStopsBackOff(t *testing.T) {
+	w := newWorld(t, "a")
+	w.runTime = 0
+	w.accept(job(step(1)))
+	w.run(300 * time.Millisecond)
+	w.ledger.Revision++
+	w.ledger.Apply(w.now, ledger.Seen{Key: ledger.Key{Kind: ledger.KindCancel, Name: "j1"}, Revision: w.ledger.Revision})
+	stops := 0
+	for range 400 { // 4 s in which every stop gets lost
+		w.now = w.now.Add(worldStep)
+		w.own()
+		tick := w.tickNow()
+		for _, system := range Systems {
+			system.Run(w.s, tick)
+		}
+		stops += len(drained[StopOrder](&w.s.Out.Stops))
+		w.perform(tick)
+	}
+	if stops == 0 || stops > 4 {
+		t.Errorf("%d stops in 4 s, want at 0, 0.5, 1.5 and 3.5 s", stops)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -22,6 +22,11 @@
 	// placeEvery is the shortest interval between two placements of a pool; in
 	// between, the ends of several workers come together.
 	placeEvery = 8 * time.Millisecond
+	// maxStartsInFlight bounds the starts of a pool without an answer, and
+	// maxStartsPerWorker those on one worker. More than can be sent within the
+	// time limit of an order would all count as unanswered.
+	maxStartsInFlight  = 96
+	maxStartsPerWorker = 8
 	// restMargin is how much longer than estimated the rest of a job may take
 	// if it is to count as in time: the longest task of a step decides, and
 	// estimates are rough.
@@ -131,6 +136,7 @@
 	id      table.ID
 	w       *Worker
 	free    placement.Resources
+	starts  int // orders without an answer
 	lasting int
 	serving int // lasting tasks with a latency target
 	fillers int
@@ -144,7 +150,11 @@
 		}
 		c := candidate{id: id, w: w, free: w.Capacity.Minus(w.used)}
 		for _, runID := range w.runs {
-			if t := s.Tasks.Get(s.Runs.Get(runID).Task); t != nil {
+			run := s.Runs.Get(runID)
+			if run.State == RunOrdered {
+				c.starts++
+			}
+			if t := s.Tasks.Get(run.Task); t != nil {
 				c.count(stepOf(s, t), 1)
 			}
 		}
@@ -182,8 +192,16 @@
 	if len(candidates) == 0 {
 		return
 	}
+	p := s.Pools.Get(poolID)
+	p.startsLeft = maxStartsInFlight
+	for i := range candidates {
+		p.startsLeft -= candidates[i].starts
+	}
 	largest := largestFree(candidates)
 	for _, stageID := range s.Pools.Get(poolID).ready {
+		if p.startsLeft <= 0 {
+			return
+		}
 		stage := s.Stages.Get(stageID)
 		if stage.Ready == 0 || !s.stepOfStage(stage).Reserved().Fits(largest) {
 			continue
@@ -228,6 +246,9 @@
 	}
 	for _, taskID := range stage.Tasks {
 		t := s.Tasks.Get(taskID)
+		if p.startsLeft <= 0 {
+			break
+		}
 		if t.State != TaskReady || tick.Now.Before(t.NotBefore) || s.mayRunElsewhere(p, j, t) {
 			continue
 		}
@@ -277,6 +298,8 @@
 
 func (c *candidate) allowed(stage *Stage, step *work.Step, t *Task, rack string) bool {
 	switch {
+	case c.starts >= maxStartsPerWorker && !step.Gang:
+		return false
 	case rack != "" && c.w.Rack != rack:
 		return false
 	case step.Label != "" && !slices.Contains(c.w.Labels, step.Label):
@@ -303,6 +326,9 @@
 	if step.Lasting && c.lasting > 0 {
 		score += 1.5
 	}
+	if step.Lasting && c.w.due {
+		score -= 3
+	}
 	switch {
 	case t.Avoid != c.id:
 	case step.Lasting: // may fail at any time through no fault of the worker
@@ -414,6 +440,8 @@
 	c.w.used = c.w.used.Plus(size)
 	c.w.runs = append(c.w.runs, order.Run)
 	c.free = c.free.Minus(size)
+	c.starts++
+	p.startsLeft--
 	c.count(step, 1)
 	s.Out.Starts.Add(order)
 	s.count("starts")
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -12,8 +12,11 @@
 
 // Orders.
 const (
-	// retryStop is the pause before a stop without effect is repeated.
-	retryStop = 500 * time.Millisecond
+	// retryStop is the pause before a stop without effect is repeated for the
+	// first time. It doubles up to maxRetryStop: an owner that is short of
+	// processor time would make its shortage worse by repeating many stops.
+	retryStop    = 500 * time.Millisecond
+	maxRetryStop = 4 * time.Second
 	// hangAfter is how long a run may show no progress. The lists show whole
 	// percents, which a run of the longest kind passes every 60 ms.
 	hangAfter = 1800 * time.Millisecond
@@ -78,6 +81,9 @@
 	if run == nil || w == nil || run.State != RunOrdered {
 		return
 	}
+	if p := s.Pools.Get(w.pool); p != nil {
+		p.place = true // another start may follow
+	}
 	if reading.Clock > 0 && (reading.Born == 0 || reading.Born == w.Born) {
 		w.readClock(reading)
 	}
@@ -207,7 +213,8 @@
 // stopRuns orders the end of runs that nobody needs.
 func stopRuns(s *State, tick engine.Tick) {
 	for id, run := range s.Runs.All() {
-		if !run.stopAsked || run.State == RunOrdered || tick.Now.Before(run.stopAt.Add(retryStop)) && !run.stopAt.IsZero() {
+		pause := min(retryStop<<max(0, run.stopTries-1), maxRetryStop)
+		if !run.stopAsked || run.State == RunOrdered || tick.Now.Before(run.stopAt.Add(pause)) && !run.stopAt.IsZero() {
 			continue
 		}
 		w := s.Workers.Get(run.Worker)
@@ -215,7 +222,7 @@
 		if !s.ordering(p, tick.Now) {
 			continue
 		}
-		run.State, run.stopAt = RunStopping, tick.Now
+		run.State, run.stopAt, run.stopTries = RunStopping, tick.Now, min(run.stopTries+1, 8)
 		s.Out.Stops.Add(StopOrder{Target: s.target(run.Worker, w, p), Run: id, Task: run.Name, Number: run.Number})
 		s.log(events.RunStopOrdered, events.F("task", run.Name.String()), events.F("run", run.Number), events.F("worker", w.ID),
 			events.F("token", p.Token))
@@ -275,10 +282,11 @@
 
 // evictWorkers takes lasting tasks off workers under maintenance, within the
 // availability limit of their step, and long tasks that keep checkpoints.
-// Everything else ends by itself.
+// Everything else ends by itself. Lasting tasks also leave workers whose
+// maintenance is to come, as long as others can take them.
 func evictWorkers(s *State, tick engine.Tick) {
 	for _, w := range s.Workers.All() {
-		if !w.maintenance || !s.ordering(s.Pools.Get(w.pool), tick.Now) {
+		if !(w.maintenance || w.due) || !s.ordering(s.Pools.Get(w.pool), tick.Now) {
 			continue
 		}
 		for _, id := range w.runs {
@@ -289,6 +297,7 @@
 			}
 			stage, _, step := s.step(t)
 			switch {
+			case !w.maintenance && !(step.Lasting && s.hasOtherHost(tick.Now, stage, step, w)):
 			case step.Lasting && s.mayTakeAway(tick.Now, stage, step, run.Task):
 				run.stopAsked = true
 			case step.Checkpointing && t.Checkpoint != "" && !step.Gang:
@@ -298,6 +307,18 @@
 	}
 }
 
+// hasOtherHost reports whether a worker without a maintenance to come can take
+// a task of a lasting step.
+func (s *State) hasOtherHost(now time.Time, stage *Stage, step *work.Step, from *Worker) bool {
+	for id, w := range s.Workers.All() {
+		c := candidate{id: id, w: w, free: w.Capacity.Minus(w.used)}
+		if w.pool == from.pool && !w.due && s.usable(now, w) && step.Reserved().Fits(c.free) && c.allowed(stage, step, &Task{}, "") {
+			return true
+		}
+	}
+	return false
+}
+
 // mayTakeAway reports whether one more task of a lasting step may be
 // unavailable.
 func (s *State) mayTakeAway(now time.Time, stage *Stage, step *work.Step, except table.ID) bool {
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -50,6 +50,7 @@
 	demandWrite      uint64
 	demandRetry      time.Time
 	reported         int64 // revision of this owner's first report; 0 before
+	startsLeft       int   // that may be ordered in the present placement
 	arrivals         []arrival
 	lasting          []table.ID // jobs with lasting steps
 	need             int        // highest of the present window
@@ -172,7 +173,8 @@
 	paceAsked   bool
 	paceAt      time.Time
 	stopAsked   bool
-	stopAt      time.Time     // of the last stop order
+	stopAt      time.Time // of the last stop order
+	stopTries   int
 	stopClock   time.Duration // of the worker when it answered a stop; 0 before
 	stopAnswers bool
 }
@@ -206,6 +208,7 @@
 	suspicion   float64
 	failedJobs  map[string]struct{}
 	maintenance bool // a machine order takes it out
+	due         bool // its machine has a maintenance to come
 	surplus     bool // gets no work: the pool has enough machines without it
 	released    bool // among the released workers of a report that may be stored
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// SetDue tells which machines have a maintenance to come. Lasting tasks leave
+// them early, since only a few of a step may be away at a time.
+func (s *State) SetDue(machines map[string]bool) {
+	for _, w := range s.Workers.All() {
+		w.due = machines[w.Machine]
+	}
+}
+
 // Idle reports whether no run can exist on the worker, and whether this
 // process is in a position to know.
 func (s *State) Idle(worker string, now time.Time) (idle, known bool) {
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -175,6 +175,9 @@
 		if !intercepted {
 			answer = w.start(o)
 		}
+		if answer == 0 {
+			continue // no answer yet
+		}
 		w.s.Started(tick, o, answer, w.workers[o.Target.ID].reading(w.now), nil)
 	}
 	for _, o := range drained[StopOrder](&w.s.Out.Stops) {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -133,6 +133,11 @@
 		}
 	}
 	s.maintained = now
+	due := map[string]bool{}
+	for machine := range s.Machines.Due {
+		due[machine] = true
+	}
+	s.Dispatch.SetDue(due)
 }
 
 // releaseDuties gives everything up during a planned stop, so that others
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -176,6 +176,24 @@
 	}
 }
 
+// Due iterates over the machines whose maintenance is still to come.
+func (s *State) Due(yield func(machine string) bool) {
+	for _, w := range s.Waves.All() {
+		if w.Status == StatusCompleted {
+			continue
+		}
+		for _, name := range w.Machines {
+			id, known := s.orderByKey.Get(ledger.Key{Kind: ledger.KindMachineOrder, Name: name})
+			if known && s.Orders.Get(id).State == work.MachineDone {
+				continue
+			}
+			if !yield(name) {
+				return
+			}
+		}
+	}
+}
+
 func (s *State) fence() ledger.Condition {
 	return ledger.Condition{Key: ledger.Key{Kind: ledger.KindOwner, Name: Duty}, Revision: s.Role.FleetToken}
 }
