--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -280,29 +280,39 @@
 	w.suspicion, w.failedJobs = 0, nil
 }
 
+// evictEarlyEvery is the interval of looks for lasting tasks on machines whose
+// maintenance is to come; there is time, and it walks over all workers.
+const evictEarlyEvery = 100 * time.Millisecond
+
 // evictWorkers takes lasting tasks off workers under maintenance, within the
 // availability limit of their step, and long tasks that keep checkpoints.
 // Everything else ends by itself. Lasting tasks also leave workers whose
 // maintenance is to come, as long as others can take them.
 func evictWorkers(s *State, tick engine.Tick) {
+	early := !tick.Now.Before(s.evictedEarly.Add(evictEarlyEvery))
+	if early {
+		s.evictedEarly = tick.Now
+	}
 	for _, w := range s.Workers.All() {
-		if !(w.maintenance || w.due) || !s.ordering(s.Pools.Get(w.pool), tick.Now) {
+		if (w.maintenance || early && w.due) && s.ordering(s.Pools.Get(w.pool), tick.Now) {
+			s.evict(tick.Now, w)
+		}
+	}
+}
+
+func (s *State) evict(now time.Time, w *Worker) {
+	for _, id := range w.runs {
+		run := s.Runs.Get(id)
+		t := s.Tasks.Get(run.Task)
+		if t == nil || run.stopAsked || run.State != RunConfirmed {
 			continue
 		}
-		for _, id := range w.runs {
-			run := s.Runs.Get(id)
-			t := s.Tasks.Get(run.Task)
-			if t == nil || run.stopAsked || run.State != RunConfirmed {
-				continue
-			}
-			stage, _, step := s.step(t)
-			switch {
-			case !w.maintenance && !(step.Lasting && s.hasOtherHost(tick.Now, stage, step, w)):
-			case step.Lasting && s.mayTakeAway(tick.Now, stage, step, run.Task):
-				run.stopAsked = true
-			case step.Checkpointing && t.Checkpoint != "" && !step.Gang:
-				run.stopAsked = true
-			}
+		stage, _, step := s.step(t)
+		switch {
+		case step.Lasting:
+			run.stopAsked = s.mayTakeAway(now, stage, step, run.Task) && (w.maintenance || s.hasOtherHost(now, stage, step, w))
+		case w.maintenance && step.Checkpointing && t.Checkpoint != "" && !step.Gang:
+			run.stopAsked = true
 		}
 	}
 }
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -331,7 +331,8 @@
 	writes       map[uint64]writeTarget
 	due          table.Heap[time.Time] // stages that wait for their time
 	early        []table.ID            // rows of the ledger whose acceptance the watch has not passed
-	ended        []table.ID            // jobs whose rows may be removed
+	evictedEarly time.Time
+	ended        []table.ID // jobs whose rows may be removed
 }
 
 // writeTarget tells what a write in flight is for.
