Read of the whole change: mark due machines only during a wave, name an index after its key

Each tick of each process walked over all workers to mark machines that are due, also without a wave. A condition that poolWorkers implies and a second lookup of the pool are gone, and the index of reports by partition is named so. No behaviour changes.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -102,7 +102,7 @@
 		demand := work.Demand{Need: s.need(tick.Now, p, have), Have: len(have)}
 		reclaim := s.adjust(p, have, demand.Need+reserve)
 		for _, workerID := range have {
-			if w := s.Workers.Get(workerID); w.surplus && len(w.runs) == 0 && w.fenced && w.Machine != "" && !slices.Contains(reclaim, workerID) {
+			if w := s.Workers.Get(workerID); w.surplus && len(w.runs) == 0 && w.Machine != "" && !slices.Contains(reclaim, workerID) {
 				demand.Released = append(demand.Released, w.ID)
 			}
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -198,7 +198,7 @@
 		p.startsLeft -= candidates[i].starts
 	}
 	largest := largestFree(candidates)
-	for _, stageID := range s.Pools.Get(poolID).ready {
+	for _, stageID := range p.ready {
 		if p.startsLeft <= 0 {
 			return
 		}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -33,6 +33,7 @@
 	fleetSince time.Time
 	stopping   time.Time // when a planned stop began
 	maintained []string
+	anyDue     bool // machines were due at the last tick
 	tickAt     time.Time
 }
 
@@ -137,7 +138,10 @@
 	for machine := range s.Machines.Due {
 		due[machine] = true
 	}
-	s.Dispatch.SetDue(due)
+	if len(due) > 0 || s.anyDue { // without a wave there is nothing to mark
+		s.Dispatch.SetDue(due)
+	}
+	s.anyDue = len(due) > 0
 }
 
 // releaseDuties gives everything up during a planned stop, so that others
--- a/machines/moves.go
+++ b/machines/moves.go
@@ -41,10 +41,10 @@
 
 // DemandSeen records what a pool's owner says about its machines.
 func (s *State) DemandSeen(now time.Time, seen ledger.Seen) {
-	id, known := s.demandByPool.Get(seen.Key.Name)
+	id, known := s.demandByDuty.Get(seen.Key.Name)
 	if !known {
 		id = s.Demands.Insert(Demand{Duty: seen.Key.Name, Pool: work.PoolOf(seen.Key.Name)})
-		s.demandByPool.Put(seen.Key.Name, id)
+		s.demandByDuty.Put(seen.Key.Name, id)
 	}
 	d := s.Demands.Get(id)
 	demand, ok := seen.Content.(*work.Demand)
@@ -80,7 +80,7 @@
 // counted reports whether the target pool's owner has reported since the
 // machine came. Until then the order counts as a machine on its way.
 func (s *State) counted(now time.Time, o *Order) bool {
-	id, ok := s.demandByPool.Get(s.Partitions.Duty(o.Target, o.Machine))
+	id, ok := s.demandByDuty.Get(s.Partitions.Duty(o.Target, o.Machine))
 	return !ok || s.Demands.Get(id).SeenAt.After(o.backAt) || now.Sub(o.backAt) > countWait
 }
 
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -110,7 +110,7 @@
 
 	waveByNumber table.Index[int]
 	orderByKey   table.Index[ledger.Key]
-	demandByPool table.Index[string]
+	demandByDuty table.Index[string]
 	machines     map[string]work.Machine
 	listedAt     time.Time // when the last list was asked for
 	listing      bool
