Finish maintenance orders after refused writes, lost answers and later waves

Four faults of the orders for machines, each with a test that failed before: - a wave that named a machine of an earlier wave never finished, because the order of the earlier wave kept the machine from being chosen; - a refused write of an accepted order cleared the call in flight, so that one more machine than the cap could be down; - an answer that arrived after the loss of the fleet left the call in flight set; - after a call whose answer was lost the machine had a new worker, and the repeated call, accepted without effect, was waited for forever. The state that an answer calls for is now kept until it is durable, the machine list counts against the cap, and an order lists the open waves before its own. Ruled out: taking an order over only once the earlier wave is completed; two open waves that name two machines in opposite order would wait for each other.

--- a/machines/machines_test.go
+++ b/machines/machines_test.go
@@ -33,6 +33,15 @@
 	// watch.
 	watchLag    time.Duration
 	undelivered []delayedRecord
+	// refuse reports whether the store refuses a write; nil accepts all.
+	refuse func(ledger.Write) bool
+	// holdAnswers keeps the answers of the machine service from the process.
+	holdAnswers bool
+	// loseAnswers is the number of calls that are executed but get no answer until
+	// the maintenance has finished.
+	loseAnswers int
+	maintained  map[string]int // the last wave for which each machine was maintained
+	lost        []MachineCall
 }
 
 type delayedRecord struct {
@@ -41,7 +50,7 @@
 }
 
 func newHarness(t *testing.T, pools map[string]int) *harness {
-	h := &harness{t: t, now: time.Unix(1000, 0), machines: map[string]*work.Machine{}, returnAt: map[string]time.Time{}, busy: map[string]bool{}}
+	h := &harness{t: t, now: time.Unix(1000, 0), machines: map[string]*work.Machine{}, returnAt: map[string]time.Time{}, busy: map[string]bool{}, maintained: map[string]int{}}
 	h.s = &State{
 		TakeoverDelay: 0, MaintenanceTime: maintenanceTime, Partitions: work.Partitions{},
 		IsStandbyPool: func(pool string) bool { return pool == "standby" },
@@ -87,6 +96,10 @@
 			delete(h.returnAt, name)
 			h.startMachine(name)
 		}
+		if len(h.lost) > 0 && len(h.returnAt) == 0 {
+			h.s.CallDone(tick, h.lost[0], CallRetry, "no answer", nil)
+			h.lost = h.lost[1:]
+		}
 		h.maxDown = max(h.maxDown, down)
 		for _, system := range Systems {
 			system.Run(h.s, tick)
@@ -98,23 +111,42 @@
 			}
 			h.s.ListDone(list, nil)
 		})
-		h.s.Calls.Drain(func(c MachineCall) {
-			h.calls = append(h.calls, c)
-			m := h.machines[c.Machine]
-			m.State = work.MachineInMaintenance
-			if c.Target != "" {
-				m.Pool = c.Target
-			}
-			h.returnAt[c.Machine] = h.now.Add(maintenanceTime)
-			h.s.CallDone(tick, c, CallAccepted, "accepted", nil)
-		})
+		h.s.Calls.Drain(func(c MachineCall) { h.call(tick, c) })
 		h.s.Writes.Drain(func(w ledger.Write) { h.write(tick, w) })
 	}
 }
 
+// call executes an order. The order of a wave that has maintained the machine before
+// is accepted without effect.
+func (h *harness) call(tick engine.Tick, c MachineCall) {
+	h.calls = append(h.calls, c)
+	m := h.machines[c.Machine]
+	if c.Target != "" || h.maintained[c.Machine] != c.Wave {
+		m.State = work.MachineInMaintenance
+		if c.Target != "" {
+			m.Pool = c.Target
+		} else {
+			h.maintained[c.Machine] = c.Wave
+		}
+		h.returnAt[c.Machine] = h.now.Add(maintenanceTime)
+	}
+	switch {
+	case h.holdAnswers:
+	case h.loseAnswers > 0:
+		h.loseAnswers--
+		h.lost = append(h.lost, c)
+	default:
+		h.s.CallDone(tick, c, CallAccepted, "accepted", nil)
+	}
+}
+
 func (h *harness) write(tick engine.Tick, w ledger.Write) {
 	h.revision++
 	h.writes = append(h.writes, w)
+	if h.refuse != nil && h.refuse(w) {
+		h.s.WriteDone(tick, ledger.WriteResult{ID: w.ID, Outcome: ledger.Refused})
+		return
+	}
 	for _, put := range w.Put {
 		if completed, ok := put.Content.(bool); ok {
 			h.statuses = append(h.statuses, completed)
--- a/machines/orders.go
+++ b/machines/orders.go
@@ -18,6 +18,9 @@
 	written      *work.MachineOrder // state in the write in flight; nil for a deletion
 	retryAt      time.Time
 	callInFlight bool
+	// answered is the state that the machine service's answer calls for, while it is
+	// not durable yet, or 0.
+	answered work.MachineOrderState
 	// orderedAt is when this process learned that the machine service accepted
 	// the order.
 	orderedAt  time.Time
@@ -43,9 +46,12 @@
 		}
 	case known:
 		o := s.Orders.Get(id)
+		if order.Wave != o.Wave { // the order of a later wave
+			*o = Order{writeID: o.writeID, written: o.written}
+		}
 		o.MachineOrder, o.Revision = *order, record.Revision
 		if o.State != work.MachineIdle {
-			o.callInFlight = false
+			o.callInFlight, o.answered = false, 0
 		}
 	default:
 		s.orderByKey.Put(record.Key, s.Orders.Insert(Order{MachineOrder: *order, Revision: record.Revision}))
@@ -114,8 +120,11 @@
 		if o.State == work.MachineOrdered && o.orderedAt.IsZero() {
 			o.orderedAt = tick.Now
 		}
+		if o.callInFlight || o.answered != 0 {
+			continue // the service's answer decides
+		}
 		m, listed := s.machines[o.Machine]
-		next := o.MachineOrder
+		next, changed := o.MachineOrder, true
 		switch {
 		case !listed:
 			next.State = work.MachineDone // the machine no longer exists
@@ -126,9 +135,11 @@
 		case o.State != work.MachineOrdered && m.State == work.MachineUp && m.Worker != o.Worker:
 			// The worker has been replaced; its successor must be drained.
 			next.Worker, next.Pool, next.State = m.Worker, m.Pool, s.initialState(m)
+		default:
+			changed = false
 		}
 		switch {
-		case next == o.MachineOrder:
+		case !changed:
 		case o.Target != "":
 			if o.returnedAt.IsZero() {
 				o.returnedAt = tick.Now
@@ -143,9 +154,10 @@
 }
 
 // hasReturned reports whether the last list shows the machine after its maintenance
-// or move. A machine of a standby pool has no worker whose replacement would show
-// this, so a list counts only if it was requested after the maintenance must have
-// ended.
+// or move. The replacement of the worker shows that, but a machine of a standby pool
+// has none, and the call of a previous owner may have been executed before the order
+// named the present worker. A list that was requested after the maintenance must have
+// ended counts in any case.
 func (s *State) hasReturned(o *Order, m work.Machine) bool {
 	if o.Target != "" {
 		return m.Pool == o.Target && s.listedAt.After(o.orderedAt)
@@ -153,7 +165,7 @@
 	if m.Worker != "" && m.Worker != o.Worker {
 		return s.listedAt.After(o.orderedAt)
 	}
-	return m.Worker == "" && s.listedAt.After(o.orderedAt.Add(s.MaintenanceTime+maintenanceMargin))
+	return s.listedAt.After(o.orderedAt.Add(s.MaintenanceTime + maintenanceMargin))
 }
 
 func (s *State) initialState(m work.Machine) work.MachineOrderState {
@@ -181,31 +193,55 @@
 	if o == nil {
 		return
 	}
+	o.callInFlight = false
 	if result == CallRefused {
 		if s.refusedAt == nil {
 			s.refusedAt = map[string]time.Time{}
 		}
 		s.refusedAt[call.Machine] = tick.Now
 	}
-	next := o.MachineOrder
+	var next work.MachineOrderState
 	switch result {
 	case CallAccepted:
-		next.State = work.MachineOrdered
+		next = work.MachineOrdered
 	case CallRefused:
-		next.State = work.MachineDone
+		next = work.MachineDone
 	default:
-		o.callInFlight, o.retryAt = false, tick.Now.Add(callRetryDelay)
+		o.retryAt = tick.Now.Add(callRetryDelay)
 		return
 	}
 	if o.Target != "" {
 		// Repeating a move that was carried out has no effect, so the state of a
 		// move need not be durable.
-		o.callInFlight, o.State, o.orderedAt = false, next.State, tick.Now
+		o.State, o.orderedAt = next, tick.Now
 		return
 	}
-	// callInFlight stays set until the state is durable, so that the machine
-	// counts as down.
-	if s.ownsFleet(tick.Now) {
-		s.writeOrder(call.Order, next, s.fenceCondition())
+	if s.ownsFleet(tick.Now) { // otherwise the next owner repeats the call
+		o.answered = next
 	}
 }
+
+// saveAnswers writes the states that the answers of the machine service call for. An
+// answer that arrived under an earlier ownership is dropped, since another owner may
+// have continued the order.
+func saveAnswers(s *State, tick engine.Tick) {
+	owned := s.ownsFleet(tick.Now)
+	for id, o := range s.Orders.All() {
+		switch {
+		case o.answered == 0:
+		case !owned:
+			o.answered = 0
+		case o.writeID == 0 && !tick.Now.Before(o.retryAt):
+			next := o.MachineOrder
+			next.State = o.answered
+			s.writeOrder(id, next, s.fenceCondition())
+		}
+	}
+}
+
+// isDown reports whether the machine of an order counts against the cap of its wave.
+// The list shows calls of a previous owner whose answer is not in the order.
+func (s *State) isDown(o *Order) bool {
+	return o.State == work.MachineOrdered || o.callInFlight || o.answered == work.MachineOrdered ||
+		o.State != work.MachineDone && s.machines[o.Machine].State == work.MachineInMaintenance
+}
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -140,6 +140,7 @@
 	{Name: "track machines", Run: trackMachines},
 	{Name: "choose machines", Run: chooseMachines},
 	{Name: "plan moves", Run: planMoves},
+	{Name: "save answers of the machine service", Run: saveAnswers},
 	{Name: "order maintenance", Run: orderMaintenance},
 	{Name: "order moves", Run: orderMoves},
 	{Name: "remove finished moves", Run: removeMoves},
@@ -193,7 +194,7 @@
 		}
 		for _, name := range w.Machines {
 			id, known := s.orderByKey.Get(ledger.Key{Kind: ledger.KindMachineOrder, Name: name})
-			if known && s.Orders.Get(id).State == work.MachineDone {
+			if known && s.Orders.Get(id).MaintainedFor(w.Number) {
 				continue
 			}
 			if !yield(name) {
@@ -267,7 +268,7 @@
 		var chosen []work.Machine
 		for _, name := range w.Machines {
 			m, listed := s.machines[name]
-			if _, known := s.orderByKey.Get(ledger.Key{Kind: ledger.KindMachineOrder, Name: name}); !known && listed && m.State == work.MachineUp && !s.hasOpenOrder(name) && !s.hasPlannedMove(name) {
+			if listed && m.State == work.MachineUp && !s.isMaintainedFor(w, name) && !s.hasOpenOrder(name) && !s.hasPlannedMove(name) && !s.isChosen(name) {
 				chosen = append(chosen, m)
 			}
 		}
@@ -299,8 +300,10 @@
 	}
 	for _, m := range machines {
 		key := ledger.Key{Kind: ledger.KindMachineOrder, Name: m.Name}
-		write.Expect = append(write.Expect, ledger.Condition{Key: key}, ledger.Condition{Key: ledger.Key{Kind: ledger.KindMachineMove, Name: m.Name}})
-		order := &work.MachineOrder{Machine: m.Name, Worker: m.Worker, Pool: m.Pool, Wave: w.Number, State: s.initialState(m)}
+		write.Expect = append(write.Expect, ledger.Condition{Key: key, Revision: s.orderRevision(key)}, ledger.Condition{Key: ledger.Key{Kind: ledger.KindMachineMove, Name: m.Name}})
+		order := &work.MachineOrder{
+			Machine: m.Name, Worker: m.Worker, Pool: m.Pool, Wave: w.Number, State: s.initialState(m), Maintained: s.openWavesDone(key),
+		}
 		write.Put = append(write.Put, ledger.Put{Key: key, Content: order})
 		w.chosenOrders = append(w.chosenOrders, order)
 		s.log(events.MachineChosen, events.F("machine", m.Name), events.F("worker", m.Worker), events.F("pool", m.Pool), events.F("wave", w.Number))
@@ -321,19 +324,21 @@
 	for _, w := range s.Waves.All() {
 		down := 0
 		for _, o := range s.Orders.All() {
-			if o.Target == "" && o.Wave == w.Number && (o.State == work.MachineOrdered || o.callInFlight) {
+			if o.Target == "" && o.Wave == w.Number && s.isDown(o) {
 				down++
 			}
 		}
 		for id, o := range s.Orders.All() {
-			if down >= w.Cap {
-				break
+			if down >= w.Cap && !s.isDown(o) {
+				continue
 			}
-			if o.Target != "" || o.Wave != w.Number || o.State != work.MachineIdle || o.callInFlight || o.writeID != 0 || tick.Now.Before(o.retryAt) {
+			if o.Target != "" || o.Wave != w.Number || o.State != work.MachineIdle || o.callInFlight || o.answered != 0 || o.writeID != 0 || tick.Now.Before(o.retryAt) {
 				continue
 			}
+			if !s.isDown(o) { // the call repeats one without an answer otherwise
+				down++
+			}
 			o.callInFlight = true
-			down++
 			s.Calls.Add(MachineCall{Order: id, Machine: o.Machine, Wave: w.Number, Token: s.Ownership.Token, NotAfter: s.Ownership.ValidUntil})
 			s.log(events.MaintenanceOrdered, events.F("machine", o.Machine), events.F("wave", w.Number), events.F("token", s.Ownership.Token),
 				events.F("down", down), events.F("cap", w.Cap))
@@ -363,15 +368,46 @@
 
 func (s *State) isMaintained(w *Wave) bool {
 	for _, name := range w.Machines {
-		id, ordered := s.orderByKey.Get(ledger.Key{Kind: ledger.KindMachineOrder, Name: name})
-		_, listed := s.machines[name]
-		if listed && (!ordered || s.Orders.Get(id).State != work.MachineDone || s.Orders.Get(id).Wave != w.Number) {
+		if _, listed := s.machines[name]; listed && !s.isMaintainedFor(w, name) {
 			return false
 		}
 	}
 	return true
 }
 
+// isMaintainedFor reports whether the maintenance of a machine for the wave has
+// finished.
+func (s *State) isMaintainedFor(w *Wave, machine string) bool {
+	id, ordered := s.orderByKey.Get(ledger.Key{Kind: ledger.KindMachineOrder, Name: machine})
+	return ordered && s.Orders.Get(id).MaintainedFor(w.Number)
+}
+
+// isChosen reports whether a write in flight starts to drain the machine for a wave.
+func (s *State) isChosen(machine string) bool {
+	for _, w := range s.Waves.All() {
+		if slices.ContainsFunc(w.chosenOrders, func(o *work.MachineOrder) bool { return o.Machine == machine }) {
+			return true
+		}
+	}
+	return false
+}
+
+// openWavesDone returns the waves that are not reported as completed and for which
+// the order's machine has been maintained.
+func (s *State) openWavesDone(key ledger.Key) []int {
+	id, known := s.orderByKey.Get(key)
+	if !known {
+		return nil
+	}
+	var open []int
+	for _, w := range s.Waves.All() {
+		if w.Status != WaveStatusCompleted && s.Orders.Get(id).MaintainedFor(w.Number) {
+			open = append(open, w.Number)
+		}
+	}
+	return open
+}
+
 // WriteDone records the result of a write and reports whether this package issued
 // the write.
 func (s *State) WriteDone(tick engine.Tick, result ledger.WriteResult) bool {
@@ -417,7 +453,7 @@
 		written := o.written
 		o.writeID, o.written = 0, nil
 		if result.Outcome != ledger.Applied {
-			o.retryAt, o.callInFlight = tick.Now.Add(writeRetryDelay), false
+			o.retryAt = tick.Now.Add(writeRetryDelay)
 			s.writeFailed(tick.Now, result)
 			return true
 		}
--- a/work/records.go
+++ b/work/records.go
@@ -1,5 +1,7 @@
 package work
 
+import "slices"
+
 // Progress is the durable state of a job's tasks. A job without such a record
 // has not started.
 type Progress struct {
@@ -85,4 +87,12 @@
 	Wave    int    // number of the wave, for a maintenance
 	Target  string // destination pool, for a move
 	State   MachineOrderState
+	// Maintained lists the open waves before Wave that have maintained the machine.
+	Maintained []int `json:",omitempty"`
+}
+
+// MaintainedFor reports whether the maintenance of the machine for a wave has
+// finished.
+func (o *MachineOrder) MaintainedFor(wave int) bool {
+	return o.Wave == wave && o.State == MachineDone || slices.Contains(o.Maintained, wave)
 }
