Keep late results from changing newer state

A claim that the watch delivers before the result of its write raised the local epoch by one too many, and the result revived an owner record that was deleted meanwhile. A late answer of a removed worker created its row in the controller again. The test of the target stand-in read the requests in flight once, although a slot is released only after the response has left the process; it now waits for the release, and the two counts are checked as before. Each test failed before the change.

--- a/controller/operations.go
+++ b/controller/operations.go
@@ -51,7 +51,11 @@
 	if s.Fleet == nil {
 		return
 	}
-	tracked := s.trackWorker(e.Worker)
+	id, known := s.trackedWorkerIndex.Get(e.Worker)
+	if !known {
+		return // the worker was removed while the poll was in flight
+	}
+	tracked := s.trackedWorkers.Get(id)
 	tracked.polling = false
 	tracked.nextPollAt, tracked.earliestPollAt = tick.Now.Add(s.pollInterval()), tick.Now.Add(minPollInterval)
 	if e.Err != nil || e.Observation == nil {
--- a/controller/operations_test.go
+++ b/controller/operations_test.go
@@ -67,3 +67,15 @@
 		t.Error("poll not due although the VM list shows another boot")
 	}
 }
+
+// Guards against a row for a worker that was removed while a poll was in flight: no
+// later event would delete it.
+func TestLateAnswerOfRemovedWorkerIsDropped(t *testing.T) {
+	h, _ := newOperatingHarness(t, 2)
+	h.state.untrackWorker("w000")
+	before := h.state.trackedWorkers.Len()
+	WorkerAnswered{Worker: "w000", Observation: &fleet.Observation{Worker: "w000"}}.apply(h.state, engine.Tick{Now: h.now})
+	if after := h.state.trackedWorkers.Len(); after != before {
+		t.Errorf("%d tracked workers after the late answer, want %d", after, before)
+	}
+}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -54,8 +54,9 @@
 	EpochRevision   int64
 	Epoch           int
 	UnownedSince    time.Time
-	appliedRevision int64  // revision of the last applied change or deletion of the owner record
-	claimWrite      uint64 // ID of the claim in flight, or 0
+	appliedRevision int64          // revision of the last applied change or deletion of the owner record
+	claimWrite      uint64         // ID of the claim in flight, or 0
+	claim           work.Ownership // content of the claim in flight
 	retryAt         time.Time
 }
 
@@ -292,6 +293,7 @@
 		}
 		d.claimWrite = s.NextWrite()
 		next := &work.Ownership{Node: s.Node, Incarnation: s.Incarnation, Epoch: d.Epoch + 1}
+		d.claim = *next
 		s.Writes.Add(ledger.Write{
 			ID: d.claimWrite, NotAfter: s.LeaseValidUntil,
 			Expect: []ledger.Condition{
@@ -367,9 +369,10 @@
 		}
 		d.claimWrite = 0
 		if result.Outcome == ledger.Applied {
-			next := work.Ownership{Node: s.Node, Incarnation: s.Incarnation, Epoch: d.Epoch + 1}
-			d.Owner, d.Revision, d.appliedRevision = next, result.Revision, result.Revision
-			d.Epoch, d.EpochRevision = next.Epoch, result.Revision
+			// The watch may have delivered these records, and later ones, before.
+			claim := d.claim
+			s.Apply(now, ledger.Record{Key: ledger.Key{Kind: ledger.KindOwner, Name: d.Name}, Revision: result.Revision, Content: &claim})
+			s.Apply(now, ledger.Record{Key: ledger.Key{Kind: ledger.KindEpoch, Name: d.Name}, Revision: result.Revision, Content: &claim})
 		} else {
 			d.retryAt = now.Add(retryDelay)
 		}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -232,3 +232,31 @@
 		t.Errorf("owners are %v with token %d after %d", after, newToken, token)
 	}
 }
+
+// Guards against a local epoch that runs ahead of the stored one when the watch
+// delivers a claim before the result of its write, and against a late result that
+// revives an owner record which was deleted meanwhile.
+func TestLateResultOfAClaimKeepsTheStoredState(t *testing.T) {
+	c := newCluster(t, []string{"a"}, "n1")
+	c.run(2 * time.Second)
+	s := c.states["n1"]
+	stored, _ := c.records[ledger.Key{Kind: ledger.KindEpoch, Name: "a"}].Content.(*work.Ownership)
+	if _, epoch, owned := s.FencingToken("a", c.now); !owned || epoch != stored.Epoch {
+		t.Errorf("owned %v in epoch %d, the store has epoch %d", owned, epoch, stored.Epoch)
+	}
+
+	var claim ledger.Write
+	late := &State{Node: "n2", Incarnation: "1", Millicores: 400, NextWrite: func() uint64 { return 77 }}
+	late.SetRequired(c.now, []string{"b"})
+	late.MarkSynced(c.now.Add(-time.Minute))
+	late.Lease, late.LeaseValidUntil, late.advertised = 9, c.now.Add(time.Second), true
+	claimDuties(late, engine.Tick{Now: c.now})
+	late.Writes.Drain(func(w ledger.Write) { claim = w })
+	owner := ledger.Key{Kind: ledger.KindOwner, Name: "b"}
+	late.Apply(c.now, ledger.Record{Key: owner, Revision: 50, Content: claim.Put[0].Content})
+	late.Apply(c.now, ledger.Record{Key: owner, Revision: 51, Deleted: true})
+	late.WriteDone(c.now, ledger.WriteResult{ID: claim.ID, Outcome: ledger.Applied, Revision: 50})
+	if late.IsRecordedOwner("b") {
+		t.Error("the late result of a claim revives a deleted owner record")
+	}
+}
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -177,6 +177,9 @@
 	if got := f.send("", "r2"); got.status != http.StatusOK || f.Address("w001") != address {
 		t.Errorf("after the restart: %+v at %s", got, f.Address("w001"))
 	}
+	// The target releases a slot only after the response has left the process, so
+	// the client may have the response before the slot is free.
+	f.await("released slots", func(s Status) bool { return s.InFlight == 0 })
 	if s := f.status(); s.Aborted != 1 || s.InFlight != 0 {
 		t.Errorf("status %+v", s)
 	}
