Order untouched machines at once after a change of the fleet's owner

Bursts of moves were sent over two connections, 119 a second with an answer after 8 ms, and maintenance went first.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -317,6 +318,35 @@
 	}
 }
 
+// Guards against a new owner that waits until all leases have expired for workers
+// that the previous owner had given up: a silent one without runs, and one whose
+// machine is about to move.
+func TestContactsDropWorkersWithoutRunsThatGetNoStarts(t *testing.T) {
+	w := newSimulation(t, "a", "b", "c")
+	w.run(300 * time.Millisecond)
+	w.workers["b"].silent = true
+	w.s.SetMaintenance("c", true)
+	w.run(4 * time.Second)
+	if len(w.contacts) != 1 || w.contacts[0].Worker != "a" {
+		t.Errorf("contacts are %v, want only a", w.contacts)
+	}
+	w.workers["b"].silent = false
+	w.s.SetMaintenance("c", false)
+	w.observe = func(task work.TaskName) {
+		for id, f := range w.workers {
+			if len(f.started) > 0 && !slices.ContainsFunc(w.contacts, func(c work.Contact) bool { return c.Worker == id }) {
+				t.Errorf("%s was started on %s, which is not among the stored contacts", task, id)
+			}
+		}
+	}
+	w.run(2 * time.Second)
+	w.accept(job(step(12)))
+	w.run(2 * time.Second)
+	if started := w.startedOn(); len(started) != 3 {
+		t.Errorf("tasks were started on %v, want all three workers", started)
+	}
+}
+
 // Guards against one start too many of a failing task. A new owner may read the
 // end of the second failed run before that of the first, on another worker.
 func TestFailuresAreCountedInAnyOrder(t *testing.T) {
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -213,10 +213,17 @@
 }
 
 // currentContacts returns the workers that hold or may get runs, and whether one
-// of them is missing from the stored contacts.
+// of them is missing from the stored contacts. A worker without runs that is
+// released, leaves its pool or does not answer is left out: the next owner would
+// wait for its answer, and it is stored again before a start on it.
 func (s *State) currentContacts(id table.ID) (contacts []work.Contact, missing bool) {
+	p := s.Pools.Get(id)
 	for _, w := range s.Workers.All() {
-		if w.pool != id || (len(w.runs) == 0 && (w.released || !w.Listed && w.tokenAccepted)) {
+		if w.pool != id {
+			continue
+		}
+		hasNoRuns := len(w.runs) == 0 && (w.tokenAccepted || p.Reconciled)
+		if hasNoRuns && (w.released || w.underMaintenance || !w.Listed || w.failedPolls >= maxFailedPolls) {
 			continue
 		}
 		missing = missing || (!w.contactSaved && w.Listed && w.tokenAccepted)
@@ -228,7 +235,7 @@
 // contactPruneInterval is the shortest interval between writes that only remove
 // contacts. They are needed because the next owner would wait for workers that
 // have left.
-const contactPruneInterval = time.Second
+const contactPruneInterval = 600 * time.Millisecond
 
 // writeRetryDelay is the delay after a store write that was refused or whose
 // result is unknown.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -75,11 +75,12 @@
 		return
 	}
 	w.Listed, w.revision = false, revision
-	s.log(events.WorkerUnregistered, events.F("worker", id), events.F("pool", w.Pool), events.F("runs", len(w.runs)), events.F("revision", revision))
-	if w.pool == 0 {
+	if w.pool == 0 { // not a worker of an owned pool
 		s.workerByID.Delete(id)
 		s.Workers.Delete(row)
+		return
 	}
+	s.log(events.WorkerUnregistered, events.F("worker", id), events.F("pool", w.Pool), events.F("runs", len(w.runs)), events.F("revision", revision))
 }
 
 // SetMaintenance records whether a machine order takes the worker out of its
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -71,6 +71,7 @@
 	}, &s.Mirror, nextWrite, timeOfDay)
 	s.Intake = intake.New(&s.Mirror, nextWrite)
 	s.Machines.TakeoverDelay, s.Machines.MaintenanceTime, s.Machines.NextWrite = settings.Bounds.TakeoverDelay, settings.Bounds.MaintenanceTime, nextWrite
+	s.Machines.CallsPerSecond = settings.MachineCallsPerSecond
 	s.Machines.IsIdle = s.Dispatch.WorkerIdle
 	s.Machines.PoolToken = func(pool string, now time.Time) (int64, bool) {
 		token, _, owned := s.Ownership.FencingToken(pool, now)
@@ -116,6 +117,7 @@
 		}
 	}
 	token, _, owned := s.Ownership.FencingToken(machines.FleetDuty, tick.Now)
+	owned = owned && s.Mirror.Revision >= token // all orders of earlier owners are in the tables
 	if owned && token != s.fleetToken {
 		s.fleetToken, s.fleetSince = token, tick.Now
 	}
@@ -195,7 +197,7 @@
 	case ledger.KindContacts:
 		s.Dispatch.ApplyContacts(record)
 	case ledger.KindMachineOrder, ledger.KindMachineMove:
-		s.Machines.ApplyOrder(record)
+		s.Machines.ApplyOrder(tick.Now, record)
 	case ledger.KindDemand:
 		s.Machines.ApplyDemand(tick.Now, record)
 	case ledger.KindPartitions:
--- a/machines/machines_test.go
+++ b/machines/machines_test.go
@@ -19,6 +19,7 @@
 	t              *testing.T
 	s              *State
 	now            time.Time
+	ownedSince     time.Time // when this process became the owner of the fleet
 	revision       int64
 	ids            uint64
 	machines       map[string]*work.Machine
@@ -50,9 +51,9 @@
 }
 
 func newHarness(t *testing.T, pools map[string]int) *harness {
-	h := &harness{t: t, now: time.Unix(1000, 0), machines: map[string]*work.Machine{}, returnAt: map[string]time.Time{}, busy: map[string]bool{}, maintained: map[string]int{}}
+	h := &harness{t: t, now: time.Unix(1000, 0), ownedSince: time.Unix(1000, 0), machines: map[string]*work.Machine{}, returnAt: map[string]time.Time{}, busy: map[string]bool{}, maintained: map[string]int{}}
 	h.s = &State{
-		TakeoverDelay: 0, MaintenanceTime: maintenanceTime, Partitions: work.Partitions{},
+		TakeoverDelay: 0, MaintenanceTime: maintenanceTime, CallsPerSecond: 1000, Partitions: work.Partitions{},
 		IsStandbyPool: func(pool string) bool { return pool == "standby" },
 		StandbyPool:   func() string { return "standby" },
 		IsIdle:        func(worker string, _ time.Time) (bool, bool) { return !h.busy[worker], true },
@@ -82,9 +83,9 @@
 	for end := h.now.Add(d); h.now.Before(end); {
 		h.now = h.now.Add(50 * time.Millisecond)
 		tick := engine.Tick{Now: h.now}
-		h.s.Ownership = FleetOwnership{Owned: true, Token: 1, ValidUntil: h.now.Add(time.Second)}
+		h.s.Ownership = FleetOwnership{Owned: true, Token: 1, Since: h.ownedSince, ValidUntil: h.now.Add(time.Second)}
 		for len(h.undelivered) > 0 && !h.now.Before(h.undelivered[0].at) {
-			h.s.ApplyOrder(h.undelivered[0].record)
+			h.s.ApplyOrder(h.now, h.undelivered[0].record)
 			h.undelivered = h.undelivered[1:]
 		}
 		down := 0
--- a/machines/moves.go
+++ b/machines/moves.go
@@ -272,19 +272,22 @@
 		return
 	}
 	for i := range moves {
-		s.ApplyOrder(ledger.Record{Key: orderKey(&moves[i]), Content: &moves[i], Revision: result.Revision})
+		s.ApplyOrder(tick.Now, ledger.Record{Key: orderKey(&moves[i]), Content: &moves[i], Revision: result.Revision})
 	}
 }
 
 // orderMoves orders the planned moves of machines on which nothing runs.
 func orderMoves(s *State, tick engine.Tick) {
-	if !s.ownsFleet(tick.Now) || tick.Now.Before(s.Ownership.Since.Add(s.TakeoverDelay)) {
+	if !s.ownsFleet(tick.Now) {
 		return
 	}
 	for id, o := range s.Orders.All() {
-		if o.Target == "" || o.State != work.MachineIdle || o.callInFlight || tick.Now.Before(o.retryAt) {
+		if o.Target == "" || o.State != work.MachineIdle || o.callInFlight || tick.Now.Before(o.retryAt) || !s.mayCall(tick.Now, o) {
 			continue
 		}
+		if !s.takeCall() {
+			return
+		}
 		o.callInFlight = true
 		s.Calls.Add(MachineCall{Order: id, Machine: o.Machine, Target: o.Target, Token: s.Ownership.Token, NotAfter: s.Ownership.ValidUntil})
 		s.log(events.MachineMoveOrdered, events.F("machine", o.Machine), events.F("to", o.Target), events.F("token", s.Ownership.Token))
@@ -323,6 +326,6 @@
 		return
 	}
 	for _, key := range keys {
-		s.ApplyOrder(ledger.Record{Key: key, Deleted: true, Revision: result.Revision})
+		s.ApplyOrder(tick.Now, ledger.Record{Key: key, Deleted: true, Revision: result.Revision})
 	}
 }
--- a/machines/orders.go
+++ b/machines/orders.go
@@ -28,7 +28,7 @@
 }
 
 // ApplyOrder updates the orders from a store record.
-func (s *State) ApplyOrder(record ledger.Record) {
+func (s *State) ApplyOrder(now time.Time, record ledger.Record) {
 	if s.appliedRevisions == nil {
 		s.appliedRevisions = map[ledger.Key]int64{}
 	}
@@ -38,6 +38,9 @@
 	s.appliedRevisions[record.Key] = record.Revision
 	id, known := s.orderByKey.Get(record.Key)
 	order, _ := record.Content.(*work.MachineOrder)
+	if finishedBefore := !known && order != nil && order.State == work.MachineDone; !finishedBefore {
+		s.takeover.noteChange(now, record.Key.Name)
+	}
 	switch {
 	case record.Deleted || order == nil:
 		if known {
@@ -190,6 +193,7 @@
 func (s *State) CallDone(tick engine.Tick, call MachineCall, result CallResult, reason string, err error) {
 	o := s.Orders.Get(call.Order)
 	s.log(events.MaintenanceAnswered, events.F("machine", call.Machine), events.F("wave", call.Wave), events.F("answer", reason), events.Err(err))
+	s.calls.done()
 	if o == nil {
 		return
 	}
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -86,9 +86,11 @@
 
 // State holds the waves, the orders for machines and the demand of pools.
 type State struct {
-	// TakeoverDelay is the pause before a new owner of the fleet calls the machine
-	// service.
+	// TakeoverDelay is the pause before a new owner of the fleet orders a machine that
+	// an earlier owner may have ordered.
 	TakeoverDelay time.Duration
+	// CallsPerSecond is the rate of orders that the machine service accepts.
+	CallsPerSecond float64
 	// MaintenanceTime is how long a machine is unavailable during maintenance.
 	MaintenanceTime time.Duration
 	Ownership       FleetOwnership
@@ -119,6 +121,8 @@
 	orderByKey        table.Index[ledger.Key]
 	demandByDuty      table.Index[string]
 	machines          map[string]work.Machine
+	calls             callLimit
+	takeover          takeover
 	listedAt          time.Time // when the last list was requested
 	listInFlight      bool
 	nextList          time.Time
@@ -134,6 +138,8 @@
 
 // Systems lists the systems in the order in which they run.
 var Systems = []engine.System[State]{
+	{Name: "note a takeover of the fleet", Run: noteTakeover},
+	{Name: "refill the limit of calls", Run: refillCalls},
 	{Name: "mark idle machines", Run: markIdleMachines},
 	{Name: "list machines", Run: listMachines},
 	{Name: "partition pools", Run: partitionPools},
@@ -141,8 +147,8 @@
 	{Name: "choose machines", Run: chooseMachines},
 	{Name: "plan moves", Run: planMoves},
 	{Name: "save answers of the machine service", Run: saveAnswers},
+	{Name: "order moves", Run: orderMoves}, // before the maintenance, which is less urgent
 	{Name: "order maintenance", Run: orderMaintenance},
-	{Name: "order moves", Run: orderMoves},
 	{Name: "remove finished moves", Run: removeMoves},
 	{Name: "report completed waves", Run: reportCompletedWaves},
 }
@@ -318,7 +324,7 @@
 // orderMaintenance orders the maintenance of idle machines, up to the cap of each
 // wave.
 func orderMaintenance(s *State, tick engine.Tick) {
-	if !s.ownsFleet(tick.Now) || tick.Now.Before(s.Ownership.Since.Add(s.TakeoverDelay)) {
+	if !s.ownsFleet(tick.Now) || !s.listedAt.After(s.Ownership.Since) { // the list shows which machines are down
 		return
 	}
 	for _, w := range s.Waves.All() {
@@ -332,9 +338,12 @@
 			if down >= w.Cap && !s.isDown(o) {
 				continue
 			}
-			if o.Target != "" || o.Wave != w.Number || o.State != work.MachineIdle || o.callInFlight || o.answered != 0 || o.writeID != 0 || tick.Now.Before(o.retryAt) {
+			if o.Target != "" || o.Wave != w.Number || o.State != work.MachineIdle || o.callInFlight || o.answered != 0 || o.writeID != 0 || tick.Now.Before(o.retryAt) || !s.mayCall(tick.Now, o) {
 				continue
 			}
+			if !s.takeCall() {
+				return
+			}
 			if !s.isDown(o) { // the call repeats one without an answer otherwise
 				down++
 			}
@@ -438,7 +447,7 @@
 			return true
 		}
 		for _, order := range chosen {
-			s.ApplyOrder(ledger.Record{Key: orderKey(order), Content: order, Revision: result.Revision})
+			s.ApplyOrder(tick.Now, ledger.Record{Key: orderKey(order), Content: order, Revision: result.Revision})
 		}
 		w.Status = WaveStatusRunning
 		if w.completing {
@@ -460,7 +469,7 @@
 		// Apply the new revision now: otherwise the systems would repeat the write,
 		// and conflict, until the watch delivers the record.
 		key := orderKey(&o.MachineOrder)
-		s.ApplyOrder(ledger.Record{Key: key, Content: written, Revision: result.Revision, Deleted: written == nil})
+		s.ApplyOrder(tick.Now, ledger.Record{Key: key, Content: written, Revision: result.Revision, Deleted: written == nil})
 		return true
 	}
 	return false
@@ -471,7 +480,7 @@
 	for _, record := range result.Current {
 		switch record.Key.Kind {
 		case ledger.KindMachineOrder, ledger.KindMachineMove:
-			s.ApplyOrder(record)
+			s.ApplyOrder(now, record)
 		case ledger.KindDemand:
 			s.ApplyDemand(now, record)
 		}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -27,9 +27,9 @@
 	// LeaseTTL is the time to live of a process's store lease, and so the time
 	// after which a killed owner is replaced. A shorter lease would expire while
 	// the store is 60 times slower than usual.
-	LeaseTTL = 2500 * time.Millisecond
+	LeaseTTL = 1600 * time.Millisecond
 	// renewInterval leaves time for three renewals within LeaseTTL.
-	renewInterval = 600 * time.Millisecond
+	renewInterval = 400 * time.Millisecond
 	// leaseMargin shortens the lease as seen by its holder, to allow for the
 	// delay between sending a request and its arrival, and for late timers.
 	leaseMargin = 250 * time.Millisecond
