Size pools by arriving and waiting work, repeat conflicting plans at once

A conflict returns the current records, so up to three plans are repeated at once. - the need of a pool was the larger of its waiting and its arriving work, although a machine comes 1.5 s later and then has both to run. - a wave took 77 standby machines while pools lacked them. Waves now leave machines to pools that lack some until half of the time left is needed; a lacking pool still gives up an eighth of the cap, since long-running tasks leave their machines one by one. - a new owner saw its own claim up to 250 ms late; a claim now wakes the watch.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -210,23 +210,26 @@
 			longRunning++
 		}
 	}
+	waiting := 0.0
 	for _, stageID := range p.readyStages {
 		if stage := s.Stages.Get(stageID); stage != nil && stage.ReadyTasks > 0 {
 			j := s.Jobs.Get(stage.Job)
-			waiting := float64(stage.ReadyTasks * j.Spec.Steps[stage.Step].Reserved().MilliCores)
+			cores := float64(stage.ReadyTasks * j.Spec.Steps[stage.Step].Reserved().MilliCores)
 			if !now.Before(j.Deadline) {
-				waiting *= lateWorkWeight
+				cores *= lateWorkWeight
 			}
-			busy += int(waiting)
+			waiting += cores
 		}
 	}
 	if len(have) == 0 {
-		if busy > 0 {
+		if waiting > 0 {
 			return minMachines
 		}
 		return 0
 	}
-	wanted := max(float64(busy), p.workArrivalRate(now)*1000)
+	// A machine arrives 1.5 s after its order. Until then about as much work arrives
+	// as the pool must be able to run at a time, beside what waits already.
+	wanted := max(float64(busy), p.workArrivalRate(now)*1000) + waiting
 	perMachine := float64(capacity) / float64(len(have)) * usableShare
 	return s.smoothNeed(now, p, max(int(math.Ceil(wanted/max(1, perMachine))), longRunning+spareMachines, s.longRunningWorkers(p)+spareMachines, minMachines))
 }
--- a/dispatch/demand_test.go
+++ b/dispatch/demand_test.go
@@ -244,3 +244,32 @@
 		t.Errorf("%d of 3 long-running tasks run", running)
 	}
 }
+
+// Load pattern: a turn of demand begins in a pool with few machines, and arrives faster
+// than these can start it. Guards against a need that counts either the arriving or the
+// waiting work: a machine arrives 1.5 s later and then has both to run.
+func TestNeedCountsArrivingAndWaitingWork(t *testing.T) {
+	w := newIdleSimulation(t)
+	for i := range 50 {
+		next := job(step(8))
+		next.ID = fmt.Sprintf("turn-%d", i)
+		w.accept(next)
+		w.run(20 * time.Millisecond)
+	}
+	id, _ := w.s.poolByName.Get("pool")
+	p := w.s.Pools.Get(id)
+	waiting := 0
+	for _, stageID := range p.readyStages {
+		stage := w.s.Stages.Get(stageID)
+		waiting += stage.ReadyTasks * w.s.stepOfStage(stage).Reserved().MilliCores
+	}
+	have := w.s.availableWorkers(w.now, id)
+	perMachine := float64(w.s.Workers.Get(have[0]).Capacity.MilliCores) * usableShare
+	arriving := p.workArrivalRate(w.now) * 1000
+	if waiting == 0 || arriving == 0 {
+		t.Fatalf("%d millicores wait and %.0f arrive, the load must exceed the pool", waiting, arriving)
+	}
+	if need, want := w.s.machineNeed(w.now, p, have), int((arriving+float64(waiting))/perMachine); need < want {
+		t.Errorf("the need is %d machines, want %d for %.0f arriving and %d waiting millicores", need, want, arriving, waiting)
+	}
+}
--- a/entry/events.go
+++ b/entry/events.go
@@ -41,9 +41,11 @@
 	for _, err := range batch.Invalid {
 		s.Logs.Add(events.Record{Event: events.StoreEntryInvalid, Fields: []events.Field{events.Err(err)}})
 	}
+	s.inFullBatch = batch.Full
 	for i := range batch.Entries {
 		s.applyEntry(tick, batch.Entries[i])
 	}
+	s.inFullBatch = false
 }
 
 // requested carries a client's request.
--- a/entry/process.go
+++ b/entry/process.go
@@ -84,7 +84,10 @@
 	manifest atomic.Pointer[work.Manifest]
 	ready    atomic.Bool
 	ownsDuty atomic.Bool
-	closing  atomic.Bool
+	// wakeWatch ends the pause of the watch over all keys when the process claims a
+	// duty: a new owner may act only when its tables have reached its own claim.
+	wakeWatch chan struct{}
+	closing   atomic.Bool
 
 	countedDroppedLines int64 // dropped log lines already added to the counter
 	requestID           atomic.Uint64
@@ -110,7 +113,7 @@
 		settings: settings, log: log, limiter: newLogLimiter(log), metrics: metrics.New("entry"),
 		store: platform.NewStoreClient(settings.StoreAddress), workers: platform.NewWorkerClient(),
 		machines: platform.NewMachineClient(settings.MachinesAddress), advice: platform.NewAdviceClient(settings.AdviceAddress),
-		signals: make(chan os.Signal, 1),
+		signals: make(chan os.Signal, 1), wakeWatch: make(chan struct{}, 1),
 	}
 	p.counters.scope, p.timers.scope = p.metrics.Scope, p.metrics.Scope
 	p.ctx, p.cancel = context.WithCancel(context.Background())
@@ -179,7 +182,7 @@
 			return ownerWatchPause
 		}
 		return nonOwnerWatchPause
-	}, func(batch platform.Batch) event { return storeChanged{batch} })
+	}, p.wakeWatch, func(batch platform.Batch) event { return storeChanged{batch} })
 }
 
 // watchOperatorKeys posts the changes of the operator's keys. It uses a watch of
@@ -187,13 +190,13 @@
 // are submitted, and a manifest must be in force two seconds after it was written.
 func (p *Process) watchOperatorKeys() {
 	pause := func() time.Duration { return operatorWatchPause }
-	p.watch(platform.OperatorPrefix, pause, func(batch platform.Batch) event { return operatorWrote{batch} })
+	p.watch(platform.OperatorPrefix, pause, nil, func(batch platform.Batch) event { return operatorWrote{batch} })
 }
 
 // watch posts the changes of all keys with a prefix until the process ends.
-func (p *Process) watch(prefix string, pause func() time.Duration, wrap func(platform.Batch) event) {
+func (p *Process) watch(prefix string, pause func() time.Duration, wake <-chan struct{}, wrap func(platform.Batch) event) {
 	watcher := platform.Watcher{
-		Store: p.store, Prefix: prefix, Pause: pause,
+		Store: p.store, Prefix: prefix, Pause: pause, Wake: wake,
 		OnError: func(err error) {
 			if err == nil {
 				p.log.Log(events.StoreAvailable, events.F("prefix", prefix))
@@ -263,6 +266,12 @@
 	}
 	owning := s.Ownership.OwnsAny()
 	p.ownsDuty.Store(owning)
+	if s.claimedDuties() {
+		select {
+		case p.wakeWatch <- struct{}{}:
+		default: // the watch has been woken already
+		}
+	}
 	ready := s.Mirror.Synced && s.Manifest != nil && s.stoppingSince.IsZero()
 	if ready && !p.ready.Load() {
 		p.log.Log(events.ProcessReady, events.F("manifest", s.Manifest.Version), events.F("store_revision", s.Mirror.Revision))
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -29,11 +29,13 @@
 	Logs     table.Outbound[events.Record]
 
 	lastWrite        uint64
+	lastToken        int64 // highest fencing token of the duties of this process
 	fleetToken       int64
 	fleetSince       time.Time
 	stoppingSince    time.Time // start of a planned shutdown, or zero
 	underMaintenance []string
 	hadDueMachines   bool // whether the last tick had machines due for maintenance
+	inFullBatch      bool // a full read of the store is being applied
 	lastTick         time.Time
 }
 
@@ -124,6 +126,15 @@
 	s.Machines.Ownership = machines.FleetOwnership{Owned: owned && s.stoppingSince.IsZero(), Token: token, Since: s.fleetSince, ValidUntil: s.Ownership.LeaseValidUntil}
 }
 
+// claimedDuties reports whether this process has become the owner of a duty since
+// the last call.
+func (s *State) claimedDuties() bool {
+	highest := s.Ownership.HighestToken()
+	claimed := highest > s.lastToken
+	s.lastToken = max(s.lastToken, highest)
+	return claimed
+}
+
 // markMaintenance keeps new runs off workers whose machine has a maintenance or
 // move order, and marks the machines that are due.
 func markMaintenance(s *State, _ engine.Tick) {
@@ -174,7 +185,7 @@
 		}
 	case platform.EntryWave:
 		if e.Wave != nil {
-			s.Machines.ApplyWave(tick.Now, *e.Wave)
+			s.Machines.ApplyWave(tick.Now, *e.Wave, !s.inFullBatch)
 		}
 	case platform.EntryWaveStatus:
 		if number, err := strconv.Atoi(e.Name); err == nil && !e.Deleted {
--- a/machines/calls_test.go
+++ b/machines/calls_test.go
@@ -55,7 +55,7 @@
 	for i := range 40 {
 		wave = append(wave, fmt.Sprintf("standby-%d", 200+i))
 	}
-	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: wave, Cap: 40})
+	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: wave, Cap: 40}, true)
 	h.run(100 * time.Millisecond)
 	h.reportDemand("a", work.Demand{Need: 120, Have: 2})
 	h.run(time.Second)
@@ -97,3 +97,78 @@
 		t.Errorf("%d calls after the first answers, want %d", n, 2*maxCallsInFlight)
 	}
 }
+
+// Load pattern: the demand changes from one pool to another, while the first releases
+// machines in many reports. Guards against moves that are delayed after each plan that
+// conflicts with a report which the watch has not delivered yet.
+func TestPlanIsRepeatedImmediatelyAfterConflict(t *testing.T) {
+	h := newHarness(t, map[string]int{"a": 2, "b": 3})
+	released := []string{h.machines["b-1"].Worker, h.machines["b-2"].Worker}
+	h.reportDemand("b", work.Demand{Need: 1, Have: 3, Released: released})
+	seen := h.revision
+	latest := ledger.Record{
+		Key: ledger.Key{Kind: ledger.KindDemand, Name: "b"}, Revision: seen + 1, Content: &work.Demand{Need: 1, Have: 3, Released: released},
+	}
+	h.revision++
+	h.current = func(w ledger.Write) []ledger.Record {
+		for _, condition := range w.Expect {
+			if condition.Key == latest.Key && condition.Revision != latest.Revision {
+				return []ledger.Record{latest}
+			}
+		}
+		return nil
+	}
+	h.reportDemand("a", work.Demand{Need: 4, Have: 2})
+	h.run(200 * time.Millisecond) // four ticks: the machine list, a conflict, the plan, the orders
+	if len(h.calls) != 2 {
+		t.Errorf("%d moves were ordered within 200 ms, want 2", len(h.calls))
+	}
+}
+
+// Guards against a store that is called without a pause while each plan conflicts.
+func TestRepeatedConflictsBackOff(t *testing.T) {
+	h := newHarness(t, map[string]int{"a": 2, "standby": 3})
+	conflicts := 0
+	h.current = func(w ledger.Write) []ledger.Record {
+		if len(w.Put) > 0 && w.Put[0].Key.Kind == ledger.KindMachineMove {
+			conflicts++
+			return []ledger.Record{}
+		}
+		return nil
+	}
+	h.reportDemand("a", work.Demand{Need: 4, Have: 2})
+	h.run(2 * time.Second) // 40 ticks
+	if limit := maxPlanConflicts + int(2*time.Second/writeRetryDelay) + 1; conflicts > limit {
+		t.Errorf("%d writes in 2 s, want at most %d", conflicts, limit)
+	}
+}
+
+// Load pattern: a turn of demand during a wave. Guards against a wave that takes the
+// standby machines which a pool lacks, and against one that then misses its time.
+func TestWaveLeavesMachinesToShortPools(t *testing.T) {
+	h := newHarness(t, map[string]int{"a": 2, "standby": 10})
+	var names []string
+	for i := range 10 {
+		names = append(names, fmt.Sprintf("standby-%d", i))
+	}
+	h.reportDemand("a", work.Demand{Need: 10, Have: 2})
+	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: names, Cap: 10, Within: 26 * time.Second}, true)
+	h.run(500 * time.Millisecond)
+	moves, maintenances := 0, 0
+	for _, c := range h.calls {
+		if c.Target != "" {
+			moves++
+		} else {
+			maintenances++
+		}
+	}
+	if moves != 8 || maintenances > 2 {
+		t.Errorf("%d moves and %d maintenances at the start of the turn, want 8 and at most 2", moves, maintenances)
+	}
+	for begin := h.now; h.now.Before(begin.Add(25 * time.Second)); h.run(time.Second) {
+		h.reportDemand("a", work.Demand{Need: 14, Have: 10}) // the shortage never ends
+	}
+	if n := len(h.statuses); n == 0 || !h.statuses[n-1] {
+		t.Errorf("statuses %v: the wave was not completed in time", h.statuses)
+	}
+}
--- a/machines/machines_test.go
+++ b/machines/machines_test.go
@@ -36,6 +36,8 @@
 	undelivered []delayedRecord
 	// refuse reports whether the store refuses a write; nil accepts all.
 	refuse func(ledger.Write) bool
+	// current returns the records with which a write conflicts, or nil if it does not.
+	current func(ledger.Write) []ledger.Record
 	// holdAnswers keeps the answers of the machine service from the process.
 	holdAnswers bool
 	// loseAnswers is the number of calls that are executed but get no answer until
@@ -148,6 +150,12 @@
 		h.s.WriteDone(tick, ledger.WriteResult{ID: w.ID, Outcome: ledger.Refused})
 		return
 	}
+	if h.current != nil {
+		if records := h.current(w); records != nil {
+			h.s.WriteDone(tick, ledger.WriteResult{ID: w.ID, Outcome: ledger.Conflict, Current: records})
+			return
+		}
+	}
 	for _, put := range w.Put {
 		if completed, ok := put.Content.(bool); ok {
 			h.statuses = append(h.statuses, completed)
@@ -169,7 +177,7 @@
 // pool has no worker whose replacement would show that it is back.
 func TestWaveRespectsItsCap(t *testing.T) {
 	h := newHarness(t, map[string]int{"a": 4, "standby": 3})
-	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0", "a-1", "standby-0", "standby-1", "standby-2"}, Cap: 2})
+	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0", "a-1", "standby-0", "standby-1", "standby-2"}, Cap: 2}, true)
 	h.run(20 * time.Second)
 	if h.maxDown > 2 {
 		t.Errorf("%d machines were down at once, the cap is 2", h.maxDown)
@@ -184,7 +192,7 @@
 func TestMaintenanceWaitsForRuns(t *testing.T) {
 	h := newHarness(t, map[string]int{"a": 2})
 	h.busy[h.machines["a-0"].Worker] = true
-	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0", "a-1"}, Cap: 2})
+	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0", "a-1"}, Cap: 2}, true)
 	h.run(10 * time.Second)
 	for _, c := range h.calls {
 		if c.Machine == "a-0" {
@@ -243,7 +251,7 @@
 func TestOrdersAreWrittenOnce(t *testing.T) {
 	h := newHarness(t, map[string]int{"a": 2, "b": 3, "standby": 1})
 	h.watchLag = 400 * time.Millisecond
-	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0"}, Cap: 1})
+	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0"}, Cap: 1}, true)
 	h.reportDemand("b", work.Demand{Need: 4, Have: 3})
 	h.run(6 * time.Second)
 	puts := map[string]int{}
--- a/machines/moves.go
+++ b/machines/moves.go
@@ -26,6 +26,10 @@
 	// transaction: three per move, the fencing condition, and the demand records
 	// of up to seven pools.
 	maxMovesPerWrite = 8
+	// maxPlanConflicts is the number of consecutive conflicts after which a plan is
+	// repeated immediately. Pools that release machines report every 160 ms, and the
+	// watch lags by half of that, so that every second plan conflicts once.
+	maxPlanConflicts = 3
 	// refusalCooldown is how long a machine is not moved after the machine service
 	// refused an order for it.
 	refusalCooldown = 10 * time.Second
@@ -267,10 +271,16 @@
 // planWriteDone records the result of writing a plan.
 func (s *State) planWriteDone(tick engine.Tick, moves []work.MachineOrder, result ledger.WriteResult) {
 	if result.Outcome != ledger.Applied {
-		s.nextPlan = tick.Now.Add(writeRetryDelay)
+		s.planConflicts++
+		if result.Outcome != ledger.Conflict || s.planConflicts > maxPlanConflicts {
+			s.nextPlan = tick.Now.Add(writeRetryDelay)
+		} else {
+			s.nextPlan = tick.Now // the result contains the current records
+		}
 		s.writeFailed(tick.Now, result)
 		return
 	}
+	s.planConflicts = 0
 	for i := range moves {
 		s.ApplyOrder(tick.Now, ledger.Record{Key: orderKey(&moves[i]), Content: &moves[i], Revision: result.Revision})
 	}
--- a/machines/orders_test.go
+++ b/machines/orders_test.go
@@ -14,10 +14,10 @@
 // in opposite order.
 func TestLaterWaveMaintainsTheSameMachines(t *testing.T) {
 	h := newHarness(t, map[string]int{"a": 3})
-	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0", "a-1"}, Cap: 1})
-	h.s.ApplyWave(h.now, work.Wave{Number: 2, Machines: []string{"a-1", "a-0"}, Cap: 1})
+	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0", "a-1"}, Cap: 1}, true)
+	h.s.ApplyWave(h.now, work.Wave{Number: 2, Machines: []string{"a-1", "a-0"}, Cap: 1}, true)
 	h.run(30 * time.Second)
-	h.s.ApplyWave(h.now, work.Wave{Number: 3, Machines: []string{"a-0", "a-2"}, Cap: 1})
+	h.s.ApplyWave(h.now, work.Wave{Number: 3, Machines: []string{"a-0", "a-2"}, Cap: 1}, true)
 	h.run(20 * time.Second)
 	calls := map[int]map[string]bool{}
 	for _, c := range h.calls {
@@ -56,7 +56,7 @@
 		}
 		return false
 	}
-	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0", "a-1", "a-2", "a-3"}, Cap: 1})
+	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0", "a-1", "a-2", "a-3"}, Cap: 1}, true)
 	h.run(30 * time.Second)
 	if refused != 6 {
 		t.Fatalf("%d writes were refused, want 6", refused)
@@ -74,7 +74,7 @@
 func TestAnswerAfterLossOfTheFleetLeavesNothingBehind(t *testing.T) {
 	h := newHarness(t, map[string]int{"a": 2})
 	h.holdAnswers = true
-	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0"}, Cap: 1})
+	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0"}, Cap: 1}, true)
 	h.run(2 * time.Second)
 	if len(h.calls) != 1 {
 		t.Fatalf("%d calls, want 1", len(h.calls))
@@ -94,7 +94,7 @@
 func TestMaintenanceWithLostAnswerFinishes(t *testing.T) {
 	h := newHarness(t, map[string]int{"a": 2})
 	h.loseAnswers = 1
-	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0"}, Cap: 1})
+	h.s.ApplyWave(h.now, work.Wave{Number: 1, Machines: []string{"a-0"}, Cap: 1}, true)
 	h.run(20 * time.Second)
 	if n := len(h.statuses); n == 0 || !h.statuses[n-1] {
 		t.Errorf("statuses %v after %d calls: the wave was not completed", h.statuses, len(h.calls))
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -48,6 +48,7 @@
 type Wave struct {
 	work.Wave
 	ReceivedAt   time.Time
+	AgeKnown     bool // received as a change, and not with a full read of the store
 	Status       WaveStatus
 	writeID      uint64               // write in flight, or 0
 	chosenOrders []*work.MachineOrder // orders in the write
@@ -128,6 +129,7 @@
 	nextList          time.Time
 	appliedRevisions  map[ledger.Key]int64           // last applied revision of each order record
 	planWrites        map[uint64][]work.MachineOrder // moves in writes in flight, by write
+	planConflicts     int                            // consecutive plan writes that were not applied
 	removalWrites     map[uint64][]ledger.Key        // records deleted by writes in flight, by write
 	nextPlan          time.Time
 	nextRemoval       time.Time
@@ -144,8 +146,8 @@
 	{Name: "list machines", Run: listMachines},
 	{Name: "partition pools", Run: partitionPools},
 	{Name: "track machines", Run: trackMachines},
+	{Name: "plan moves", Run: planMoves}, // before the waves, which can wait
 	{Name: "choose machines", Run: chooseMachines},
-	{Name: "plan moves", Run: planMoves},
 	{Name: "save answers of the machine service", Run: saveAnswers},
 	{Name: "order moves", Run: orderMoves}, // before the maintenance, which is less urgent
 	{Name: "order maintenance", Run: orderMaintenance},
@@ -157,13 +159,14 @@
 	s.Logs.Add(events.Record{Event: event, Fields: fields})
 }
 
-// ApplyWave records a wave that the operator requested.
-func (s *State) ApplyWave(now time.Time, wave work.Wave) {
+// ApplyWave records a wave that the operator requested. ageKnown is false if the
+// request may have been made long before.
+func (s *State) ApplyWave(now time.Time, wave work.Wave, ageKnown bool) {
 	if id, ok := s.waveByNumber.Get(wave.Number); ok {
 		s.Waves.Get(id).Wave = wave
 		return
 	}
-	s.waveByNumber.Put(wave.Number, s.Waves.Insert(Wave{Wave: wave, ReceivedAt: now}))
+	s.waveByNumber.Put(wave.Number, s.Waves.Insert(Wave{Wave: wave, ReceivedAt: now, AgeKnown: ageKnown}))
 	s.log(events.MaintenanceWaveRequested, events.F("wave", wave.Number), events.F("machines", len(wave.Machines)),
 		events.F("cap", wave.Cap), events.F("within_s", wave.Within.Seconds()))
 }
@@ -281,10 +284,71 @@
 		slices.SortStableFunc(chosen, func(a, b work.Machine) int {
 			return cmp.Or(compareBool(s.IsStandbyPool(b.Pool), s.IsStandbyPool(a.Pool)), cmp.Compare(underOrder[a.Pool], underOrder[b.Pool]))
 		})
+		if !s.isUrgent(tick.Now, w) {
+			chosen = s.dispensable(tick.Now, chosen, underOrder, max(1, w.Cap/lackingPoolDivisor))
+		}
 		s.startDraining(w, chosen[:min(len(chosen), capacity)])
 	}
 }
 
+// maintenanceOverhead is added to MaintenanceTime for the time between two machines
+// that are down in turn: draining, calls and machine lists.
+const maintenanceOverhead = 1500 * time.Millisecond
+
+// urgencyFactor multiplies the time that the rest of a wave takes at its cap. Below
+// that time the wave no longer waits for the pools.
+const urgencyFactor = 2
+
+// isUrgent reports whether a wave must go on although pools lack machines.
+func (s *State) isUrgent(now time.Time, w *Wave) bool {
+	if !w.AgeKnown {
+		return true
+	}
+	remaining := 0
+	for _, name := range w.Machines {
+		if !s.isMaintainedFor(w, name) {
+			remaining++
+		}
+	}
+	rounds := (remaining + max(1, w.Cap) - 1) / max(1, w.Cap)
+	needed := urgencyFactor * time.Duration(rounds) * (s.MaintenanceTime + maintenanceOverhead)
+	return now.Add(needed).After(w.ReceivedAt.Add(w.Within))
+}
+
+// lackingPoolDivisor divides the cap of a wave for each pool that lacks machines. Such
+// a pool still drains some, because long-running tasks leave their machines one after
+// the other, which takes most of the time of a wave.
+const lackingPoolDivisor = 8
+
+// dispensable removes the machines that pools need at present: as many standby machines
+// as all pools together lack, and those of pools that lack machines beyond perPool under
+// order.
+func (s *State) dispensable(now time.Time, machines []work.Machine, underOrder map[string]int, perPool int) []work.Machine {
+	lacking, total := map[string]bool{}, 0
+	for _, d := range s.Demands.All() {
+		if n := s.shortage(d); n > 0 && now.Sub(d.ReceivedAt) < demandValidity {
+			lacking[d.Pool] = true
+			total += n
+		}
+	}
+	if total == 0 {
+		return machines
+	}
+	spare := len(s.standbyMachines(now)) - total
+	var kept []work.Machine
+	for _, m := range machines {
+		switch {
+		case s.IsStandbyPool(m.Pool) && spare > 0:
+			spare--
+			kept = append(kept, m)
+		case !s.IsStandbyPool(m.Pool) && (!lacking[m.Pool] || underOrder[m.Pool] < perPool):
+			underOrder[m.Pool]++
+			kept = append(kept, m)
+		}
+	}
+	return kept
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -393,3 +393,15 @@
 	}
 	return false
 }
+
+// HighestToken returns the highest fencing token of the duties whose owner record
+// names this process, or 0.
+func (s *State) HighestToken() int64 {
+	var highest int64
+	for _, d := range s.Duties.All() {
+		if s.isOwner(d) {
+			highest = max(highest, d.Revision)
+		}
+	}
+	return highest
+}
