Let a new owner wait for the stops of the earlier one before it evicts

Evictions now begin StopMs and 0.3 s after the start of an ownership, and a process that shuts down orders none.

Also extrapolates a rising arrival rate to the time at which a machine arrives.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -46,6 +46,15 @@
 	// which a rise of the load is detected if many jobs arrive per second.
 	arrivalWindow        = 500 * time.Millisecond
 	arrivalWindowDivisor = 4
+	// trendWindow is how far back the arrival rate before arrivalWindow is measured,
+	// to tell whether the load is rising.
+	trendWindow = 3 * arrivalWindow
+	// minGrowth is the ratio of the two rates from which the load counts as rising;
+	// the rates of an even load of 35 jobs a second differ by up to that ratio.
+	minGrowth = 1.3
+	// maxGrowth bounds the factor by which a rising rate is extrapolated over the time
+	// that a machine takes to arrive.
+	maxGrowth = 2.0
 	// maxReclaimed bounds the conditions of a report, so that it stays within
 	// the 32 entries of a store transaction.
 	maxReclaimed = 24
@@ -67,7 +76,7 @@
 // workArrivalRate returns the cores that keep up with the arriving jobs, as a
 // lower confidence bound, since a few jobs predict little about the next ones.
 func (p *Pool) workArrivalRate(now time.Time) float64 {
-	p.arrivals = slices.DeleteFunc(p.arrivals, func(a arrival) bool { return now.Sub(a.at) > arrivalWindow })
+	p.arrivals = slices.DeleteFunc(p.arrivals, func(a arrival) bool { return now.Sub(a.at) > trendWindow })
 	highest := 0.0
 	for window := arrivalWindow; window >= arrivalWindow/arrivalWindowDivisor; window /= 2 {
 		sum, jobs := 0.0, 0
@@ -84,6 +93,23 @@
 	return highest
 }
 
+// expectedArrivalRate extrapolates a rising arrival rate, in cores, to the time at
+// which a machine that is ordered now arrives.
+func (p *Pool) expectedArrivalRate(now time.Time) float64 {
+	rate := p.workArrivalRate(now)
+	earlier := 0.0
+	for _, a := range p.arrivals {
+		if now.Sub(a.at) > arrivalWindow {
+			earlier += a.work
+		}
+	}
+	earlier /= (trendWindow - arrivalWindow).Seconds()
+	if rate <= minGrowth*earlier {
+		return rate
+	}
+	return min(maxGrowth*rate, rate+2*(rate-minGrowth*earlier))
+}
+
 // releasesVoided reports whether the workers that an earlier owner released may
 // be used again. This owner's first report voids those releases, and the local
 // copy of the store must have reached it to contain every move that was planned
@@ -229,7 +255,7 @@
 	}
 	// A machine arrives 1.5 s after its order. Until then about as much work arrives
 	// as the pool must be able to run at a time, beside what waits already.
-	wanted := max(float64(busy), p.workArrivalRate(now)*1000) + waiting
+	wanted := max(float64(busy), p.expectedArrivalRate(now)*1000) + waiting
 	perMachine := float64(capacity) / float64(len(have)) * usableShare
 	return s.smoothNeed(now, p, max(int(math.Ceil(wanted/max(1, perMachine))), longRunning+spareMachines, s.longRunningWorkers(p)+spareMachines, minMachines))
 }
--- a/dispatch/demand_test.go
+++ b/dispatch/demand_test.go
@@ -273,3 +273,27 @@
 		t.Errorf("the need is %d machines, want %d for %.0f arriving and %d waiting millicores", need, want, arriving, waiting)
 	}
 }
+
+// Load pattern: five times the mean in turns. Guards against a pool that follows a
+// rising load with machines ordered for the load of 1.5 s before, and against an
+// extrapolation of an even load.
+func TestRisingArrivalRateIsExtrapolated(t *testing.T) {
+	now := simulationStart
+	p := &Pool{OwnedSince: now.Add(-time.Minute)}
+	arrive := func(jobsPerSecond float64, d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(time.Duration(float64(time.Second) / jobsPerSecond))
+			p.recordArrival(now, &Job{Work: 10})
+		}
+	}
+	arrive(35, 2*time.Second)
+	if rate, expected := p.workArrivalRate(now), p.expectedArrivalRate(now); expected > rate {
+		t.Errorf("an even load of %.0f cores is extrapolated to %.0f", rate, expected)
+	}
+	arrive(2, 3*time.Second)
+	arrive(35, 300*time.Millisecond)
+	rate, expected := p.workArrivalRate(now), p.expectedArrivalRate(now)
+	if expected < 1.5*rate || expected > maxGrowth*rate {
+		t.Errorf("the start of a turn with %.0f cores is extrapolated to %.0f, want 1.5 to %v times as much", rate, expected, maxGrowth)
+	}
+}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -292,6 +292,10 @@
 // and is not urgent.
 const earlyEvictionInterval = 100 * time.Millisecond
 
+// handoverSlack is added to the time of a stop for the call that ordered it. Until
+// then the lists may show tasks as serving that the earlier owner has stopped.
+const handoverSlack = 300 * time.Millisecond
+
 // evictWorkers stops long-running tasks on workers under maintenance, within the
 // availability limit of their step, and tasks that have a checkpoint. All other
 // runs end by themselves. Long-running tasks are also moved off workers that are
@@ -301,8 +305,15 @@
 	if includePending {
 		s.lastEarlyEviction = tick.Now
 	}
+	if s.Stopping {
+		return // the next owner could not tell which tasks are being stopped
+	}
 	for _, w := range s.Workers.All() {
-		if (w.underMaintenance || includePending && w.maintenancePending) && s.mayOrder(s.Pools.Get(w.pool), tick.Now) {
+		if !w.underMaintenance && (!includePending || !w.maintenancePending) {
+			continue
+		}
+		p := s.Pools.Get(w.pool)
+		if s.mayOrder(p, tick.Now) && !tick.Now.Before(p.OwnedSince.Add(s.Config.StopTime+handoverSlack)) {
 			s.evict(tick.Now, w)
 		}
 	}
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -307,6 +307,7 @@
 	MaxLease   time.Duration // longest lease of a run
 	OwnerLease time.Duration // longest time for which a replaced owner may still send orders
 	Retention  time.Duration // how long finished jobs stay visible
+	StopTime   time.Duration // how long a worker takes to stop a run
 }
 
 // State holds the tables of the pools that this process owns.
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -70,6 +70,7 @@
 	s.Ownership.Millicores = settings.Millicores
 	s.Dispatch = dispatch.New(dispatch.Config{
 		MaxLease: min(settings.Bounds.MaxLease, runLease), OwnerLease: ownership.LeaseTTL, Retention: settings.Bounds.StatusRetention,
+		StopTime: settings.Bounds.StopTime,
 	}, &s.Mirror, nextWrite, timeOfDay)
 	s.Intake = intake.New(&s.Mirror, nextWrite)
 	s.Machines.TakeoverDelay, s.Machines.MaintenanceTime, s.Machines.NextWrite = settings.Bounds.TakeoverDelay, settings.Bounds.MaintenanceTime, nextWrite
