Reject submissions at once during an outage and send callers back spread out

Load patterns: store away for this process, store silent, herd after an outage. A submission was held 250 ms while the store refused, and waited behind four unanswered writes until its deadline while the store was silent; every refusal said Retry-After: 1, so callers used up their four tries within 5 s and returned together. The new package admission decides from the results of all store calls: reject at once with a reason, Retry-After growing from 1 to 4 s with the age of the outage and spread by job. A request that was sent to the store is never called not run.

--- a/entry/events.go
+++ b/entry/events.go
@@ -26,6 +26,7 @@
 	s.applyBatch(tick, e.batch)
 	s.Mirror.Revision = max(s.Mirror.Revision, e.batch.Revision)
 	s.Mirror.RefreshedAt = tick.Now
+	s.storeAnswered(tick.Now)
 	if e.batch.Full {
 		s.Mirror.Synced = true
 		s.Ownership.MarkSynced(tick.Now)
@@ -57,6 +58,9 @@
 type writeDone struct{ result ledger.WriteResult }
 
 func (e writeDone) apply(s *State, tick engine.Tick) {
+	if e.result.Outcome == ledger.Applied || e.result.Outcome == ledger.Conflict {
+		s.storeAnswered(tick.Now)
+	}
 	_ = s.Intake.WriteDone(tick, e.result) || s.Dispatch.WriteDone(tick, e.result) ||
 		s.Ownership.WriteDone(tick.Now, e.result) || s.Machines.WriteDone(tick, e.result)
 }
@@ -72,6 +76,11 @@
 }
 
 func (e leaseAnswered) apply(s *State, tick engine.Tick) {
+	if e.err != nil {
+		s.Intake.Admission.CallAnswered(tick.Now, false)
+	} else {
+		s.storeAnswered(tick.Now)
+	}
 	if e.err != nil || e.gone {
 		s.Logs.Add(events.Record{Event: events.LeaseCallFailed, Fields: []events.Field{
 			events.F("lease", e.call.Lease), events.F("gone", e.gone), events.Err(e.err),
--- a/entry/process.go
+++ b/entry/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/waxwingbridge/waxwingbridge/admission"
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/intake"
@@ -253,6 +255,9 @@
 
 func (p *Process) deliverReply(reply intake.Reply) {
 	p.counters.add("requests_"+reply.Outcome.String(), 1)
+	if reply.Reason != admission.None {
+		p.counters.add("rejected_"+strings.ReplaceAll(reply.Reason.String(), "-", "_"), 1)
+	}
 	if answer, ok := p.pendingReplies.LoadAndDelete(reply.Request); ok {
 		answer.(chan intake.Reply) <- reply // never blocks: the channel has room for the only reply
 	}
@@ -272,7 +277,7 @@
 		default: // the watch has been woken already
 		}
 	}
-	ready := s.Mirror.Synced && s.Manifest != nil && s.stoppingSince.IsZero()
+	ready := s.Mirror.Synced && s.Manifest != nil && s.stoppingSince.IsZero() && s.reachesStore(tick.Now)
 	if ready && !p.ready.Load() {
 		p.log.Log(events.ProcessReady, events.F("manifest", s.Manifest.Version), events.F("store_revision", s.Mirror.Revision))
 	}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -34,8 +34,9 @@
 	fleetSince       time.Time
 	stoppingSince    time.Time // start of a planned shutdown, or zero
 	underMaintenance []string
-	hadDueMachines   bool // whether the last tick had machines due for maintenance
-	inFullBatch      bool // a full read of the store is being applied
+	hadDueMachines   bool      // whether the last tick had machines due for maintenance
+	inFullBatch      bool      // a full read of the store is being applied
+	storeContactAt   time.Time // last call that the store executed
 	lastTick         time.Time
 }
 
@@ -136,6 +137,23 @@
 	return claimed
 }
 
+// storeContactTimeout is how long the store may leave this process without an answer
+// until it takes no new connections. A watch is answered at least every 1.2 s. The
+// platform uses all processes if most of them are not ready, as while the store is down.
+const storeContactTimeout = 2 * time.Second
+
+// storeAnswered records that the store has executed a call of this process.
+func (s *State) storeAnswered(now time.Time) {
+	s.storeContactAt = now
+	s.Intake.Admission.CallAnswered(now, true)
+}
+
+// reachesStore reports whether the store has executed a call of this process lately.
+// Clients of a process that it turns away are served better by another one.
+func (s *State) reachesStore(now time.Time) bool {
+	return now.Sub(s.storeContactAt) < storeContactTimeout
+}
+
 // markMaintenance keeps new runs off workers whose machine has a maintenance or
 // move order, and marks the machines that are due.
 func markMaintenance(s *State, _ engine.Tick) {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/waxwingbridge/waxwingbridge/admission"
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
@@ -39,8 +40,9 @@
 	// maxHeldRequests bounds the requests held in memory; further requests are
 	// refused immediately.
 	maxHeldRequests = 4096
-	// RetryAfter is the delay after which a refused caller should retry.
-	RetryAfter = time.Second
+	// DefaultRetryAfter is the delay after which a caller should retry that was
+	// refused for another reason than the state of the store.
+	DefaultRetryAfter = time.Second
 )
 
 // Outcome is the result of a request.
@@ -104,6 +106,9 @@
 	Outcome Outcome
 	State   work.JobState
 	Count   int
+	// Reason and RetryAfter are set if the request was refused.
+	Reason     admission.Reason
+	RetryAfter time.Duration
 }
 
 // Lookup is an outbound read of a job's records, for a request that the mirror
@@ -124,6 +129,9 @@
 	Logs      table.Outbound[events.Record]
 	NextWrite func() uint64
 
+	// Admission decides on submissions from the results of writes.
+	Admission admission.State
+
 	writes      map[uint64][]table.ID // requests in writes in flight, by write
 	lastWriteAt time.Time
 }
@@ -156,8 +164,14 @@
 	case r.Verb == Cancel && known && job.State().Final():
 		s.reply(tick, &r, Reply{Outcome: Accepted})
 	case s.Requests.Len() >= maxHeldRequests:
-		s.reply(tick, &r, Reply{Outcome: refusalOutcome(r.Verb)})
-	case r.Verb == Submit, r.Verb == Cancel && known:
+		s.reply(tick, &r, Reply{Outcome: refusalOutcome(r.Verb), Reason: admission.TooManyHeld})
+	case r.Verb == Submit:
+		if decision := s.Admission.Decide(tick.Now, r.Job); decision.Reason != admission.None {
+			s.reply(tick, &r, Reply{Outcome: NotAccepted, Reason: decision.Reason, RetryAfter: decision.RetryAfter})
+			return
+		}
+		s.Requests.Insert(r)
+	case r.Verb == Cancel && known:
 		s.Requests.Insert(r)
 	default:
 		id := s.Requests.Insert(r)
@@ -174,6 +188,10 @@
 
 func (s *State) reply(tick engine.Tick, r *Request, reply Reply) {
 	reply.Request = r.ID
+	refused := reply.Outcome == NotAccepted || reply.Outcome == NotAvailable
+	if refused && reply.RetryAfter == 0 {
+		reply.RetryAfter = s.Admission.RetryAfter(tick.Now, r.Job)
+	}
 	s.Replies.Add(reply)
 	fields := []events.Field{
 		events.F("request", r.ID), events.F("verb", r.Verb.String()), events.F("job", r.Job), events.F("queue", r.Queue),
@@ -185,7 +203,10 @@
 		fields = append(fields, events.F("state", reply.State.String()))
 	}
 	event := events.RequestAnswered
-	if reply.Outcome == NotAccepted || reply.Outcome == NotAvailable || reply.Outcome == Unresolved {
+	if refused {
+		fields = append(fields, events.F("reason", reply.Reason.String()), events.F("retry_after_s", reply.RetryAfter.Seconds()))
+	}
+	if refused || reply.Outcome == Unresolved {
 		event = events.RequestNotServed
 	}
 	s.Logs.Add(events.Record{Event: event, Fields: fields})
@@ -213,15 +234,21 @@
 // expireRequests gives the final answer to requests that cannot be served before
 // their deadline, and to those whose writes the store has refused for too long.
 func expireRequests(s *State, tick engine.Tick) {
+	silent := s.Admission.Outage(tick.Now) == admission.StoreSilent
 	for id, r := range s.Requests.All() {
 		late := !tick.Now.Before(r.Deadline.Add(-replyMargin))
 		refused := !r.retryAt.IsZero() && !r.maybeDurable && r.writeID == 0 && tick.Now.Sub(r.receivedAt) > refusalTimeout
+		unsent := silent && r.Verb == Submit && r.writeID == 0 && !r.maybeDurable
 		switch {
-		case !late && !refused:
+		case !late && !refused && !unsent:
 		case r.maybeDurable || r.writeID != 0:
 			s.complete(tick, id, Reply{Outcome: Unresolved})
+		case unsent:
+			s.complete(tick, id, Reply{Outcome: NotAccepted, Reason: admission.StoreSilent})
+		case late:
+			s.complete(tick, id, Reply{Outcome: refusalOutcome(r.Verb), Reason: admission.DeadlineClose})
 		default:
-			s.complete(tick, id, Reply{Outcome: refusalOutcome(r.Verb)})
+			s.complete(tick, id, Reply{Outcome: refusalOutcome(r.Verb), Reason: admission.StoreRefuses})
 		}
 	}
 }
@@ -256,6 +283,7 @@
 		return
 	}
 	s.writes[write.ID], s.lastWriteAt = rows, tick.Now
+	s.Admission.WriteSent(tick.Now, write.ID)
 	s.Writes.Add(write)
 }
 
@@ -272,6 +300,7 @@
 		return false
 	}
 	delete(s.writes, result.ID)
+	s.Admission.WriteAnswered(tick.Now, result.ID, result.Outcome == ledger.Applied || result.Outcome == ledger.Conflict)
 	exists := map[string]bool{}
 	for _, record := range result.Current {
 		s.Mirror.Apply(tick.Now, record)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -104,6 +104,7 @@
 		t.Errorf("a job that the store refused is answered %v", r[1].Outcome)
 	}
 
+	h.s.Admission.CallAnswered(h.now, true) // otherwise the next submission is rejected at once
 	h.receive(2, Submit, "b")
 	tick = h.tick(time.Millisecond)
 	h.s.WriteDone(tick, ledger.WriteResult{ID: h.writes()[0].ID, Outcome: ledger.Unknown})
