--- a/review/standin/compacted.go
+++ b/review/standin/compacted.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -22,14 +23,46 @@
 func compactedHistory(w *world, trouble bool) bool {
 	w.retention = shortRetention
 	w.site(3)
-	st := &step{Count: 1, Cpu: 500, MemoryMb: 64, EstimatedMs: 20, work: 20 * time.Millisecond}
 	removal := time.Now().Add((shortRetention + 12) * time.Second) // of the first records
+	w.finishJobs(finishedJobs, "order")
+	w.say("all ends are taken note of")
+	time.Sleep(time.Until(removal))
+	for n := range slowRounds {
+		if trouble {
+			w.setSlower(slowFactor)
+			begin := time.Now()
+			w.store.compact()
+			time.Sleep(time.Until(begin.Add(slowTime)))
+			w.setSlower(1)
+		}
+		time.Sleep(4 * time.Second)
+		if w.breaks() > 0 {
+			w.say("the store has been slow, and has forgotten its history, %d times", n+1)
+			break
+		}
+	}
+	broken := w.breaks()
+	w.say("subtasks started although their end done was taken note of: %d", broken)
+	return broken == 0
+}
+
+func (w *world) setSlower(factor int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.store.slower = factor
+	w.note("the store's answers take %d times as long as usual", factor)
+}
+
+// finishJobs hands in n jobs of one subtask and waits until all of them are done and
+// their ends are taken note of.
+func (w *world) finishJobs(n int, spec string) {
+	st := &step{Count: 1, Cpu: 500, MemoryMb: 64, EstimatedMs: 20, work: 20 * time.Millisecond}
 	ids := make(chan string)
 	var submitting sync.WaitGroup
 	for i := range submitters {
 		submitting.Go(func() {
 			for id := range ids {
-				j := &job{Spec: "order", Steps: []*step{st}}
+				j := &job{Spec: spec, Steps: []*step{st}}
 				w.mu.Lock()
 				w.jobs[id] = j
 				w.mu.Unlock()
@@ -42,45 +75,78 @@
 			}
 		})
 	}
-	for n := range finishedJobs {
-		ids <- fmt.Sprintf("%08x%08x", uint32(n)*2654435761, n)
+	for i := range n {
+		ids <- fmt.Sprintf("%08x%08x", uint32(i)*2654435761, i)
 	}
 	close(ids)
 	submitting.Wait()
-	w.say("%d jobs are handed in", finishedJobs)
+	w.say("%d jobs are handed in", n)
 	count := func() (done, broken int) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		return len(w.noted), w.broken
 	}
-	if !waitFor(35*time.Second, func() bool { done, _ := count(); return done == finishedJobs }) {
+	if !waitFor(35*time.Second, func() bool { done, _ := count(); return done == n }) {
 		done, _ := count()
-		w.cannotRun("the ends of only %d of %d subtasks were taken note of", done, finishedJobs)
+		w.cannotRun("the ends of only %d of %d subtasks were taken note of", done, n)
 	}
-	w.say("all ends are taken note of")
-	time.Sleep(time.Until(removal))
-	for n := range slowRounds {
+}
+
+// breaks returns how many breaks of a rule the minions have seen.
+func (w *world) breaks() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.broken
+}
+
+// blindOwner: the store forgets its history, and a client cancels a job meanwhile. The
+// machines have links of 10 Mbit/s, as some on the grown sites.
+func blindOwner(w *world, trouble bool) bool {
+	const cancelTimeGrown = 4 * time.Second // cancel_ms there
+	w.linkMbps = 10
+	w.site(3)
+	w.finishJobs(3000, strings.Repeat("x", 1200)) // the mean size of a request there
+	const id = "00000000000000ba"
+	j := &job{Spec: "report"}
+	for i := range 40 {
+		st := &step{Count: 2, Cpu: 1800, MemoryMb: 512, EstimatedMs: 300, work: 300 * time.Millisecond}
+		if i > 0 {
+			st.After = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, st)
+	}
+	w.submit(id, j)
+	w.waitForRuns(id, 1)
+	time.Sleep(time.Second)
+	forgotten := make(chan struct{})
+	go func() {
 		if trouble {
-			w.setSlower(slowFactor)
-			begin := time.Now()
 			w.store.compact()
-			time.Sleep(time.Until(begin.Add(slowTime)))
-			w.setSlower(1)
 		}
-		time.Sleep(4 * time.Second)
-		if _, broken := count(); broken > 0 {
-			w.say("the store has been slow, and has forgotten its history, %d times", n+1)
-			break
-		}
-	}
-	_, broken := count()
-	w.say("subtasks started although their end done was taken note of: %d", broken)
-	return broken == 0
+		close(forgotten)
+	}()
+	time.Sleep(deafTime / 5)
+	p := w.notOwner()
+	status, _ := w.call(p, http.MethodDelete, id, nil)
+	w.say("DELETE %s at %s: %d", id, p.name, status)
+	time.Sleep(cancelTimeGrown)
+	before := w.startsOf(id)
+	<-forgotten
+	time.Sleep(10 * time.Second)
+	later := w.startsOf(id) - before
+	w.say("%d subtasks of the job started later than %v after the acknowledgement; it is shown as %s", later, cancelTimeGrown, w.state(id))
+	return later == 0
 }
 
-func (w *world) setSlower(factor int) {
+// notOwner returns a process that doesn't own the pool: the client's channel ends there.
+func (w *world) notOwner() *process {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.store.slower = factor
-	w.note("the store's answers take %d times as long as usual", factor)
+	owner := string(w.store.items["waxwing/owner/"+service].Value)
+	for _, p := range w.entries {
+		if !strings.Contains(owner, p.name) {
+			return p
+		}
+	}
+	return w.entries[0]
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 // the same without the disruption.
 var cases = map[string]func(w *world, trouble bool) bool{
 	"foreign-entry":   foreignEntry,
+	"blind":           blindOwner,
 	"compacted":       compactedHistory,
 	"long-schedule":   longSchedule,
 	"failed-once":     failedOnce,
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -216,9 +216,8 @@
 }
 
 func (s *store) serveRange(rw http.ResponseWriter, r *http.Request) {
-	s.w.mu.Lock()
-	defer s.w.mu.Unlock()
 	prefix, after := r.URL.Query().Get("Prefix"), r.URL.Query().Get("After")
+	s.w.mu.Lock()
 	keys := s.sortedKeys()
 	first, _ := slices.BinarySearch(keys, max(prefix, after+"\x00"))
 	page, more := []item{}, false
@@ -231,7 +230,9 @@
 		}
 		page = append(page, *s.items[key])
 	}
-	answer(rw, http.StatusOK, map[string]any{"items": page, "HasMore": more, "StoreRevision": s.revision})
+	revision := s.revision
+	s.w.mu.Unlock()
+	s.w.answerAtLinkSpeed(rw, map[string]any{"items": page, "HasMore": more, "StoreRevision": revision})
 }
 
 // changes returns the changes of the keys with a prefix after a revision.
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -33,6 +33,7 @@
 	address     string // of the store, the machine service and the advice service
 	entries     []*process
 	folder      string
+	linkMbps    int             // speed of the machines\' links, or 0 for no limit
 	retention   int             // status_s of the settings
 	client      *http.Transport // of the clients
 	ports       int             // ports given out or found in use
@@ -261,6 +262,29 @@
 	}
 }
 
+// answerAtLinkSpeed answers with 200 at the speed of a machine's link, if one is set.
+func (w *world) answerAtLinkSpeed(rw http.ResponseWriter, body any) {
+	if w.linkMbps == 0 {
+		answer(rw, http.StatusOK, body)
+		return
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // only items of the store are encoded
+	}
+	rw.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	const chunk = 16 << 10
+	for len(encoded) > 0 {
+		n := min(chunk, len(encoded))
+		time.Sleep(time.Duration(n) * 8 * time.Microsecond / time.Duration(w.linkMbps))
+		if _, err := rw.Write(encoded[:n]); err != nil {
+			return
+		}
+		_ = http.NewResponseController(rw).Flush()
+		encoded = encoded[n:]
+	}
+}
+
 func decode(rw http.ResponseWriter, r *http.Request, target any) bool {
 	data, err := io.ReadAll(r.Body)
 	if err == nil && len(data) > 0 {
