Review, case 1: one disruption only, the loss of the history

The stand-in sends a full read over links of 10 Mbit/s, as the machines of the grown site have, and the store answers in its usual time.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case compacted; see claim.txt. TROUBLE=0 plays it without the disruption.
+# Plays the case compacted-link; see claim.txt. TROUBLE=0 plays it without the disruption.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
@@ -7,4 +7,4 @@
 export TROUBLE="${TROUBLE:-1}"
 ENTRY_COMMAND=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
 export ENTRY_COMMAND
-exec timeout --foreground -k 2 115 target/review/standin compacted "$folder/record.txt"
+exec timeout --foreground -k 2 115 target/review/standin compacted-link "$folder/record.txt"
--- a/review/standin/compacted.go
+++ b/review/standin/compacted.go
@@ -15,19 +15,13 @@
 	shortRetention = 40 // status_s, so that records are removed within the time of a script
 	slowFactor     = 60 // platform_slow: x = 60, for_s = 4.5
 	slowTime       = 4500 * time.Millisecond
-	slowRounds     = 5
+	rounds         = 5
 )
 
 // compactedHistory: many jobs are done, and their records are being removed, ten every two
 // seconds. The store forgets its history while it is slow.
 func compactedHistory(w *world, trouble bool) bool {
-	w.retention = shortRetention
-	w.site(3)
-	removal := time.Now().Add((shortRetention + 12) * time.Second) // of the first records
-	w.finishJobs(finishedJobs, "order")
-	w.say("all ends are taken note of")
-	time.Sleep(time.Until(removal))
-	for n := range slowRounds {
+	return w.removeAndCompact("order", func() {
 		if trouble {
 			w.setSlower(slowFactor)
 			begin := time.Now()
@@ -35,9 +29,34 @@
 			time.Sleep(time.Until(begin.Add(slowTime)))
 			w.setSlower(1)
 		}
+	})
+}
+
+// compactedLink: the same with a store that answers in its usual time, to machines with
+// links of 10 Mbit/s, as on the grown site, and with jobs of the site's mean size.
+func compactedLink(w *world, trouble bool) bool {
+	w.linkMbps = 10
+	return w.removeAndCompact(strings.Repeat("x", 500), func() {
+		if trouble {
+			w.store.compact()
+		}
+	})
+}
+
+// removeAndCompact plays the disruption up to five times while the records of finished
+// jobs are removed. It reports whether none of the jobs has started again.
+func (w *world) removeAndCompact(spec string, disrupt func()) bool {
+	w.retention = shortRetention
+	w.site(3)
+	removal := time.Now().Add((shortRetention + 12) * time.Second) // of the first records
+	w.finishJobs(finishedJobs, spec)
+	w.say("all ends are taken note of")
+	time.Sleep(time.Until(removal))
+	for n := range rounds {
+		disrupt()
 		time.Sleep(4 * time.Second)
 		if w.breaks() > 0 {
-			w.say("the store has been slow, and has forgotten its history, %d times", n+1)
+			w.say("the store has forgotten its history %d times", n+1)
 			break
 		}
 	}
@@ -100,12 +119,13 @@
 }
 
 // blindOwner: the store forgets its history, and a client cancels a job meanwhile. The
-// machines have links of 10 Mbit/s, as some on the grown sites.
+// machines have links of 10 Mbit/s, as on the grown sites, and the jobs 1,200 bytes, the mean of
+// two kinds of request on qdr-bridge.
 func blindOwner(w *world, trouble bool) bool {
 	const cancelTimeGrown = 4 * time.Second // cancel_ms there
 	w.linkMbps = 10
 	w.site(3)
-	w.finishJobs(3000, strings.Repeat("x", 1200)) // the mean size of a request there
+	w.finishJobs(3000, strings.Repeat("x", 1200))
 	const id = "00000000000000ba"
 	j := &job{Spec: "report"}
 	for i := range 40 {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 	"foreign-entry":   foreignEntry,
 	"blind":           blindOwner,
 	"compacted":       compactedHistory,
+	"compacted-link":  compactedLink,
 	"long-schedule":   longSchedule,
 	"failed-once":     failedOnce,
 	"lost-minion":     lostMinion,
