Log each full read of the store's keys

Change: event 869 gives the pages and revisions of a full read, and how many jobs have lost their progress record while their job record remained. It is also written for a batch of changes with such a job.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -138,6 +138,7 @@
 	ManifestExpired          = Event{866, log.WarnLevel, "confirmation of the manifest expired or was renewed"}
 	LoadReported             = Event{867, log.InfoLevel, "load of the process"}
 	MachineRowInvalid        = Event{868, log.WarnLevel, "row of the machine list was left out"}
+	StoreReadInFull          = Event{869, log.InfoLevel, "all keys of a watch were read again"}
 	LogsDropped              = Event{864, log.WarnLevel, "log records were dropped"}
 )
 
@@ -161,6 +162,6 @@
 		WorkerDraining, WorkerUnregistered, WorkerIncarnationEnded, WorkerLeasesExpired, OrderFenced, WorkerUnfit,
 		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
 		MachinesUnavailable, MaintenanceNotSaved, PoolsDivided, ManifestInForce, StoreEntryInvalid, LeaseCallFailed, SettingsReloaded,
-		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, MachineMovePlanned, MachineMoveOrdered,
+		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, StoreReadInFull, MachineMovePlanned, MachineMoveOrdered,
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -48,9 +48,12 @@
 	// has all changes that the store acknowledged before.
 	ReadAt time.Time
 
-	byID    table.Index[string]
-	pending map[string]int // jobs counted by PendingJobs, by queue
-	changed []table.ID
+	byID table.Index[string]
+	// lostProgress counts the jobs whose progress record was deleted while their job
+	// record remained. All records of a job are deleted in one transaction.
+	lostProgress int
+	pending      map[string]int // jobs counted by PendingJobs, by queue
+	changed      []table.ID
 }
 
 // Find returns the ID and row of a job, or a nil row if the mirror has none.
@@ -78,6 +81,14 @@
 	return changed
 }
 
+// TakeLostProgress returns how many jobs have lost their progress record, but not their
+// job record, since the last call.
+func (m *JobMirror) TakeLostProgress() int {
+	lost := m.lostProgress
+	m.lostProgress = 0
+	return lost
+}
+
 // Apply updates the mirror from a store record. Revisions that are not newer than
 // the known one are ignored, so that changes may arrive repeatedly and in any
 // order.
@@ -96,10 +107,13 @@
 		m.byID.Put(record.Key.Name, id)
 		j = m.Jobs.Get(id)
 	}
-	before := j.pendingQueue()
+	before, hadProgress := j.pendingQueue(), j.Progress != nil
 	if !j.apply(now, record) {
 		return
 	}
+	if hadProgress && j.Progress == nil && j.Spec != nil {
+		m.lostProgress++
+	}
 	m.updatePending(before, j.pendingQueue())
 	if j.Spec == nil && j.Progress == nil && record.Deleted {
 		m.Remove(id)
