--- a/entry/events.go
+++ b/entry/events.go
@@ -80,7 +80,7 @@
 	if read := batch.Read; batch.Full || lost > 0 {
 		s.Logs.Add(events.Record{Event: events.StoreReadInFull, Fields: []events.Field{
 			events.F("full", batch.Full), events.F("keys", read.Keys), events.F("pages", read.Pages), events.F("first_revision", read.FirstRevision),
-			events.F("last_revision", read.LastRevision), events.F("revision", batch.Revision), events.F("removed", read.Removed),
+			events.F("last_revision", read.LastRevision), events.F("changed", read.Changed), events.F("revision", batch.Revision), events.F("removed", read.Removed),
 			events.F("lost_progress", lost), events.F("took_ms", receivedAt.Sub(batch.ReadAt).Milliseconds()),
 		}})
 	}
