Read the job last when a client's request is looked up

What callers could see: a finished job shown as queued, and run again, if its records are removed while a process looks it up for a client.

The lookup read the job, then its progress and its cancellation, in three calls; after the removal the progress is missing, and the mirror holds a job that was never started.

Change: the job is read last. Its records are removed in one transaction, so if it exists, the others had not been removed when they were read. A job that is not stored now costs three calls instead of one.

Result: TestLookupDuringTheRemovalOfAJobShowsNoUnfinishedJob failed before (shown as queued, in the mirror without progress) and passes.

--- a/entry/effects.go
+++ b/entry/effects.go
@@ -140,9 +140,11 @@
 	return answer
 }
 
+// lookup reads the records of a job. The job record is read last: all records are removed
+// in one transaction, so if it exists, the others were not removed before they were read.
 func (p *Process) lookup(ctx context.Context, l intake.Lookup) event {
 	result := lookupDone{lookup: l}
-	for _, kind := range []ledger.Kind{ledger.KindJob, ledger.KindProgress, ledger.KindCancel} {
+	for _, kind := range []ledger.Kind{ledger.KindProgress, ledger.KindCancel, ledger.KindJob} {
 		key := ledger.Key{Kind: kind, Name: l.Job}
 		item, err := p.store.Get(ctx, storeKey(key))
 		if err != nil {
@@ -151,7 +153,7 @@
 		}
 		if item.Deleted {
 			if kind == ledger.KindJob {
-				return result
+				result.records = nil
 			}
 			continue
 		}
