Insert the occurrences of a schedule when they are due

Cause: the owner of a pool inserted rows for all steps and tasks of all occurrences when it loaded the job, 1.5 million here, and exceeded the memory of its machine; so did each next owner.

Saved progress holds finished occurrences as ranges; records of the earlier form are read. New jobs of more than 20,000 tasks an occurrence, or with a schedule that no duration holds, are refused.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -8,7 +8,6 @@
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/table"
-	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
 const (
@@ -61,7 +60,7 @@
 	}
 	settings := j.Spec.Limits.Advice
 	stage.advicePending, stage.adviceRequestedAt = true, tick.Now
-	name := work.TaskName{Job: j.Spec.ID, Occurrence: stage.Occurrence, Step: stage.Step}
+	name := s.stageName(stage)
 	s.Out.Advice.Add(AdviceRequest{
 		Stage: stageID, Name: name.StageName(), Workers: names,
 		Expected: settings.Decision + time.Duration(len(names))*settings.PerWorker,
--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -32,6 +32,6 @@
 // RowsVisited returns how many rows the systems have visited by iterating over whole
 // tables or indexes. The few pools are not counted.
 func (s *State) RowsVisited() uint64 {
-	return s.visitedIndexed + s.Jobs.Visited() + s.Stages.Visited() + s.Tasks.Visited() + s.Runs.Visited() + s.Workers.Visited() +
+	return s.visitedIndexed + s.Jobs.Visited() + s.Occurrences.Visited() + s.Stages.Visited() + s.Tasks.Visited() + s.Runs.Visited() + s.Workers.Visited() +
 		s.Mirror.Jobs.Visited()
 }
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -192,7 +192,7 @@
 	if j.Final != 0 || !mustGiveUp(now, t, step, s.Pools.Get(j.Pool), ran.early && alone) {
 		return
 	}
-	name := work.TaskName{Job: j.Spec.ID, Occurrence: stage.Occurrence, Step: stage.Step, Index: t.Index}
+	name := s.taskName(t)
 	s.log(events.TaskGivenUp, events.F("task", name.String()), events.F("crashes", len(t.CrashedRuns)), events.F("early", t.EarlyCrashes))
 	s.finishJob(stage.Job, work.JobFailed, name.String())
 }
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -154,7 +154,7 @@
 		w.runTime = 0
 		w.accept(job(long))
 		w.run(200 * time.Millisecond)
-		task := func() *Task { return w.s.Tasks.Get(w.s.findTask(work.TaskName{Job: "j1"})) }
+		task := func() *Task { return w.s.Tasks.Get(w.s.findTask(w.tickNow(), work.TaskName{Job: "j1"})) }
 		run := w.s.Runs.Get(task().Run)
 		return w, w.s.Workers.Get(run.Worker), task
 	}
@@ -201,7 +201,7 @@
 	lasting.LongRunning = true
 	w.accept(job(lasting))
 	w.run(200 * time.Millisecond)
-	task := func() *Task { return w.s.Tasks.Get(w.s.findTask(work.TaskName{Job: "j1"})) }
+	task := func() *Task { return w.s.Tasks.Get(w.s.findTask(w.tickNow(), work.TaskName{Job: "j1"})) }
 	for range maxCrashes + 2 {
 		id := w.s.Workers.Get(w.s.Runs.Get(task().Run).Worker).ID
 		w.crash(id)
@@ -229,7 +229,7 @@
 	w.accept(other)
 	loadJobs(w.s, w.tickNow())
 	for index := range 2 {
-		w.s.Tasks.Get(w.s.findTask(work.TaskName{Job: "j1", Index: index})).CrashedRuns = []int{1, 2}
+		w.s.Tasks.Get(w.s.findTask(w.tickNow(), work.TaskName{Job: "j1", Index: index})).CrashedRuns = []int{1, 2}
 	}
 	w.run(time.Second)
 	placed := 0
@@ -257,7 +257,7 @@
 		if n == 10 {
 			w.accept(job(step(1)))
 			loadJobs(w.s, w.tickNow())
-			w.s.Tasks.Get(w.s.findTask(work.TaskName{Job: "j1"})).CrashedRuns = []int{1, 2}
+			w.s.Tasks.Get(w.s.findTask(w.tickNow(), work.TaskName{Job: "j1"})).CrashedRuns = []int{1, 2}
 		}
 		w.run(100 * time.Millisecond)
 	}
--- a/dispatch/indexes.go
+++ b/dispatch/indexes.go
@@ -176,15 +176,18 @@
 // setTaskRun records the run that may exist of a task, or 0 for none.
 func (s *State) setTaskRun(taskID, run table.ID) {
 	t := s.Tasks.Get(taskID)
-	jobID := s.Stages.Get(t.Stage).Job
-	j := s.Jobs.Get(jobID)
+	stage := s.Stages.Get(t.Stage)
+	j, o := s.Jobs.Get(stage.Job), s.Occurrences.Get(stage.Occurrence)
 	if t.Run != 0 {
 		j.activeRuns--
+		o.activeRuns--
 	}
 	if t.Run = run; run != 0 {
 		j.activeRuns++
+		o.activeRuns++
 	}
-	s.noteRemovable(jobID, j)
+	s.noteRemovable(stage.Job, j)
+	s.noteRemovableOccurrence(stage.Occurrence)
 }
 
 // noteRemovable lists a job for removal if its final state is saved and no run of it may
--- a/dispatch/indexes_test.go
+++ b/dispatch/indexes_test.go
@@ -30,19 +30,45 @@
 		}
 	}
 	for id, j := range s.Jobs.All() {
-		active := 0
-		for _, stageID := range j.stages {
-			for _, taskID := range s.Stages.Get(stageID).Tasks {
+		active := w.checkOccurrences(id, j)
+		p := s.Pools.Get(j.Pool)
+		if j.activeRuns != active || j.dirty && j.saveWrite == 0 && !p.unsavedJobs.Contains(id) {
+			w.t.Errorf("job %s: %d active runs, counted %d; dirty %v, queued %v", j.Spec.ID, active, j.activeRuns, j.dirty, p.unsavedJobs.Contains(id))
+		}
+	}
+}
+
+// checkOccurrences returns the number of tasks of a job of which a run may exist.
+func (w *simulation) checkOccurrences(id table.ID, j *Job) int {
+	w.t.Helper()
+	s := w.s
+	active, tasks, previous := 0, 0, -1
+	for _, occurrenceID := range j.occurrences {
+		o := s.Occurrences.Get(occurrenceID)
+		activeHere, unfinished := 0, 0
+		for _, stageID := range o.Stages {
+			stage := s.Stages.Get(stageID)
+			if !s.stageDone(stage) {
+				unfinished++
+			}
+			for _, taskID := range stage.Tasks {
+				tasks++
 				if s.Tasks.Get(taskID).Run != 0 {
-					active++
+					activeHere++
 				}
 			}
 		}
-		p := s.Pools.Get(j.Pool)
-		if j.activeRuns != active || j.dirty && j.saveWrite == 0 && !p.unsavedJobs.Contains(id) {
-			w.t.Errorf("job %s: %d active runs, counted %d; dirty %v, queued %v", j.Spec.ID, active, j.activeRuns, j.dirty, p.unsavedJobs.Contains(id))
+		if o.Job != id || o.Number <= previous || o.activeRuns != activeHere || o.unfinished != unfinished ||
+			(unfinished == 0) != j.finished.Contains(o.Number) {
+			w.t.Errorf("occurrence %d of %s after %d: %d active runs, counted %d; %d unfinished stages, counted %d; finished %v",
+				o.Number, j.Spec.ID, previous, activeHere, o.activeRuns, unfinished, o.unfinished, j.finished)
 		}
+		active, previous = active+activeHere, o.Number
+	}
+	if tasks != j.openTasks {
+		w.t.Errorf("job %s has %d tasks in the tables, counted %d", j.Spec.ID, tasks, j.openTasks)
 	}
+	return active
 }
 
 func (w *simulation) checkWorker(id table.ID, worker *Worker) {
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -54,72 +54,19 @@
 		LedgerRow: row, Spec: spec, Pool: poolID, Created: l.CreateRevision, Started: l.Progress != nil, revision: l.ProgressRevision,
 	})
 	s.jobByID.Put(l.ID, id)
-	var stages []table.ID
-	for occurrence := range spec.Schedule.Occurrences() {
-		for step := range spec.Steps {
-			stages = append(stages, s.insertStage(id, spec, occurrence, step))
-		}
-	}
-	j := s.Jobs.Get(id)
-	j.stages, j.unfinished = stages, len(stages)
 	if slices.ContainsFunc(spec.Steps, func(step work.Step) bool { return step.LongRunning }) {
 		p := s.Pools.Get(poolID)
 		p.longRunningJobs = append(p.longRunningJobs, id)
 	}
-	s.setDeadline(tick, j)
+	s.setDeadline(tick, s.Jobs.Get(id))
 	if l.Progress != nil {
-		for i := range l.Progress.Stages {
-			s.restoreStage(j, &l.Progress.Stages[i])
-		}
-	}
-	for _, stageID := range stages {
-		s.linkDependencies(j, stageID)
-	}
-	for _, stageID := range stages {
-		s.unblockStage(tick, stageID)
+		s.restoreOccurrences(tick, id, l.Progress)
 	}
+	s.openDueOccurrences(tick, id)
 	s.completeIfDone(id)
 	return id
 }
 
-func (s *State) insertStage(job table.ID, spec *work.Job, occurrence, step int) table.ID {
-	stage := Stage{Job: job, Occurrence: occurrence, Step: step, DueAt: spec.Schedule.DueAt(occurrence), perWorker: map[table.ID]int{}}
-	id := s.Stages.Insert(stage)
-	tasks := make([]table.ID, spec.Steps[step].Count)
-	for index := range tasks {
-		tasks[index] = s.Tasks.Insert(Task{Stage: id, Index: index})
-	}
-	s.Stages.Get(id).Tasks = tasks
-	return id
-}
-
-func (s *State) restoreStage(j *Job, saved *work.StageProgress) {
-	at := saved.Occurrence*len(j.Spec.Steps) + saved.Step
-	if at < 0 || at >= len(j.stages) {
-		return
-	}
-	stage := s.Stages.Get(j.stages[at])
-	for index, taskID := range stage.Tasks {
-		if saved.IsDone(index) {
-			s.Tasks.Get(taskID).State = TaskDone
-			stage.DoneTasks++
-		}
-	}
-	for _, failed := range saved.Failed {
-		if failed.Index < len(stage.Tasks) {
-			t := s.Tasks.Get(stage.Tasks[failed.Index])
-			t.FailedRuns = t.restoreRuns(failed.Runs)
-		}
-	}
-	for _, crashed := range saved.Crashed {
-		if crashed.Index < len(stage.Tasks) {
-			t := s.Tasks.Get(stage.Tasks[crashed.Index])
-			t.CrashedRuns, t.EarlyCrashes = t.restoreRuns(crashed.Runs), crashed.Early
-			t.unaccountedRun, t.LastRun = crashed.Running, max(t.LastRun, crashed.Running)
-		}
-	}
-}
-
 // restoreRuns returns a copy of saved run numbers. Later runs of the task get higher
 // numbers.
 func (t *Task) restoreRuns(saved []int) []int {
@@ -129,60 +76,8 @@
 	return slices.Clone(saved)
 }
 
-// linkDependencies counts the unfinished stages that a stage depends on and
-// registers it with them.
-func (s *State) linkDependencies(j *Job, id table.ID) {
-	stage := s.Stages.Get(id)
-	if s.stageDone(stage) {
-		j.unfinished--
-	}
-	for _, before := range j.Spec.Steps[stage.Step].After {
-		dependencyID := j.stages[stage.Occurrence*len(j.Spec.Steps)+before]
-		dependency := s.Stages.Get(dependencyID)
-		if !s.stageDone(dependency) {
-			stage.OpenDependencies++
-			dependency.dependents = append(dependency.dependents, id)
-		}
-	}
-}
-
 func (s *State) stageDone(stage *Stage) bool { return stage.DoneTasks == len(stage.Tasks) }
 
-// unblockStage makes the tasks of a stage ready if the stages it depends on are
-// done and its due time has passed.
-func (s *State) unblockStage(tick engine.Tick, id table.ID) {
-	stage := s.Stages.Get(id)
-	if stage.OpenDependencies > 0 || s.stageDone(stage) {
-		return
-	}
-	if !stage.DueAt.IsZero() && s.TimeOfDay().Before(stage.DueAt) {
-		s.dueStages.Put(id, stage.DueAt)
-		return
-	}
-	for _, taskID := range stage.Tasks {
-		if t := s.Tasks.Get(taskID); t.State == TaskBlocked {
-			s.makeReady(tick.Now, taskID)
-		}
-	}
-}
-
-func unblockDueStages(s *State, tick engine.Tick) {
-	if s.dueStages.Len() == 0 {
-		return
-	}
-	now := s.TimeOfDay()
-	for {
-		id, at, ok := s.dueStages.Min()
-		if !ok || now.Before(at) {
-			return
-		}
-		s.dueStages.Remove(id)
-		if s.Stages.Get(id) != nil {
-			s.unblockStage(tick, id)
-		}
-	}
-}
-
 func (s *State) makeReady(now time.Time, taskID table.ID) {
 	t := s.Tasks.Get(taskID)
 	if t.State == TaskReady || t.State == TaskDone {
@@ -210,27 +105,24 @@
 	if t.State == TaskDone {
 		return
 	}
-	stageID := t.Stage
-	stage := s.Stages.Get(stageID)
+	stage := s.Stages.Get(t.Stage)
 	if t.State == TaskReady {
-		s.changeReadyTasks(tick.Now, stageID, -1)
+		s.changeReadyTasks(tick.Now, t.Stage, -1)
 	}
 	t.State = TaskDone
 	stage.DoneTasks++
 	if !s.stageDone(stage) {
 		return
 	}
-	jobID := stage.Job
-	s.Jobs.Get(jobID).unfinished--
 	for _, next := range stage.dependents {
 		s.Stages.Get(next).OpenDependencies--
 		s.unblockStage(tick, next)
 	}
-	s.completeIfDone(jobID)
+	s.finishStage(stage.Occurrence)
 }
 
 func (s *State) completeIfDone(id table.ID) {
-	if j := s.Jobs.Get(id); j.unfinished == 0 && j.Final == 0 {
+	if j := s.Jobs.Get(id); j.finished.Len() >= j.Spec.Schedule.Occurrences() && j.Final == 0 {
 		s.finishJob(id, work.JobCompleted, "")
 	}
 }
@@ -254,8 +146,7 @@
 		member.FailedRuns = append(member.FailedRuns, run)
 	}
 	if len(t.FailedRuns) >= max(1, j.Spec.Limits.MaxFailures) && j.Final == 0 {
-		name := work.TaskName{Job: j.Spec.ID, Occurrence: stage.Occurrence, Step: stage.Step, Index: t.Index}
-		s.finishJob(stage.Job, work.JobFailed, name.String())
+		s.finishJob(stage.Job, work.JobFailed, s.taskName(t).String())
 	}
 }
 
@@ -267,7 +158,15 @@
 	s.log(events.WorkFinished, events.F("job", j.Spec.ID), events.F("queue", j.Spec.Queue), events.F("state", state.String()),
 		events.F("failed_task", reason), events.F("revision", j.revision))
 	s.count("jobs_" + state.String())
-	for _, stageID := range j.stages {
+	s.dueOccurrences.Remove(id)
+	for _, occurrence := range j.occurrences {
+		s.dropOccurrence(occurrence)
+	}
+}
+
+// dropOccurrence drops the tasks of an occurrence that are not done, and stops their runs.
+func (s *State) dropOccurrence(id table.ID) {
+	for _, stageID := range s.Occurrences.Get(id).Stages {
 		stage := s.Stages.Get(stageID)
 		s.removeReady(stageID)
 		for _, taskID := range stage.Tasks {
@@ -283,7 +182,7 @@
 	}
 }
 
-// removeFinishedJobs deletes the rows of jobs whose final state is saved and
+// removeFinishedJobs deletes the rows of jobs and occurrences whose end is saved and
 // that have no runs left.
 func removeFinishedJobs(s *State, _ engine.Tick) {
 	for _, id := range s.finishedJobs {
@@ -292,17 +191,19 @@
 		}
 	}
 	s.finishedJobs = s.finishedJobs[:0]
+	for _, id := range s.finishedOccurrences {
+		if o := s.Occurrences.Get(id); o != nil && o.activeRuns == 0 {
+			s.closeOccurrence(id)
+		}
+	}
+	s.finishedOccurrences = s.finishedOccurrences[:0]
 }
 
 func (s *State) removeJob(id table.ID) {
 	j := s.Jobs.Get(id)
-	for _, stageID := range j.stages {
-		for _, taskID := range s.Stages.Get(stageID).Tasks {
-			s.Tasks.Delete(taskID)
-		}
-		s.dueStages.Remove(stageID)
-		s.removeReady(stageID)
-		s.Stages.Delete(stageID)
+	s.dueOccurrences.Remove(id)
+	for _, occurrence := range j.occurrences {
+		s.deleteOccurrence(occurrence)
 	}
 	if p := s.Pools.Get(j.Pool); p != nil {
 		p.unsavedJobs.Remove(id)
@@ -312,22 +213,40 @@
 	s.Jobs.Delete(id)
 }
 
-// findTask returns the row of a task, or 0 if it is not in the tables.
-func (s *State) findTask(name work.TaskName) table.ID {
+// findTask returns the row of a task, or 0 if its job is not in the tables or the task is
+// not to run any more. It inserts the occurrence of a task that is not in the tables yet:
+// an earlier owner may have started it by a clock that is ahead of this machine's.
+func (s *State) findTask(tick engine.Tick, name work.TaskName) table.ID {
 	id, ok := s.jobByID.Get(name.Job)
 	if !ok {
 		return 0
 	}
 	j := s.Jobs.Get(id)
-	at := name.Occurrence*len(j.Spec.Steps) + name.Step
-	if name.Step >= len(j.Spec.Steps) || at >= len(j.stages) {
+	if name.Occurrence >= j.Spec.Schedule.Occurrences() || name.Step >= len(j.Spec.Steps) || name.Index >= j.Spec.Steps[name.Step].Count {
 		return 0
 	}
-	tasks := s.Stages.Get(j.stages[at]).Tasks
-	if name.Index >= len(tasks) {
-		return 0
+	occurrence := s.findOccurrence(j, name.Occurrence)
+	if occurrence == 0 {
+		if j.finished.Contains(name.Occurrence) || j.Final != 0 {
+			return 0
+		}
+		occurrence = s.openOccurrence(tick, id, name.Occurrence, nil)
+	}
+	return s.Stages.Get(s.Occurrences.Get(occurrence).Stages[name.Step]).Tasks[name.Index]
+}
+
+// taskName returns the name of a task in the tables.
+func (s *State) taskName(t *Task) work.TaskName {
+	name := s.stageName(s.Stages.Get(t.Stage))
+	name.Index = t.Index
+	return name
+}
+
+// stageName returns the name of the first task of a stage.
+func (s *State) stageName(stage *Stage) work.TaskName {
+	return work.TaskName{
+		Job: s.Jobs.Get(stage.Job).Spec.ID, Occurrence: s.Occurrences.Get(stage.Occurrence).Number, Step: stage.Step,
 	}
-	return tasks[name.Index]
 }
 
 func (s *State) stageJobAndStep(t *Task) (*Stage, *Job, *work.Step) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -372,7 +372,7 @@
 	if number == 0 {
 		number = s.runNumberAfter(p, j, t.LastRun)
 	}
-	name := work.TaskName{Job: j.Spec.ID, Occurrence: stage.Occurrence, Step: stage.Step, Index: t.Index}
+	name := s.taskName(t)
 	size := step.Reserved()
 	t.State, t.LastRun = TaskActive, number
 	s.changeReadyTasks(tick.Now, t.Stage, -1)
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -111,7 +111,7 @@
 			s.syncJob(tick, row)
 		}
 		s.loadContacts(tick.Now, id)
-		s.log(events.PoolLoaded, events.F("pool", s.Pools.Get(id).Name), events.F("jobs", s.Jobs.Len()),
+		s.log(events.PoolLoaded, events.F("pool", s.Pools.Get(id).Name), events.F("jobs", s.Jobs.Len()), events.F("tasks", s.Tasks.Len()),
 			events.F("contacts", len(s.Pools.Get(id).Contacts)), events.F("store_revision", s.Mirror.Revision))
 	}
 	for _, row := range changed {
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -71,7 +71,7 @@
 	if saved == nil {
 		return
 	}
-	done := saved.State == work.JobCompleted
+	done := saved.State == work.JobCompleted || saved.Finished.Contains(task.Occurrence)
 	for i := range saved.Stages {
 		stage := &saved.Stages[i]
 		done = done || (stage.Occurrence == task.Occurrence && stage.Step == task.Step && stage.IsDone(task.Index))
--- a/dispatch/save.go
+++ b/dispatch/save.go
@@ -79,10 +79,21 @@
 	if j.Final != 0 {
 		return &work.Progress{State: j.Final}
 	}
-	p := &work.Progress{State: work.JobRunning}
-	for _, stageID := range j.stages {
+	p := &work.Progress{State: work.JobRunning, Finished: slices.Clone(j.finished)}
+	for _, id := range j.occurrences {
+		if o := s.Occurrences.Get(id); o.unfinished > 0 {
+			p.Stages = s.appendStages(p.Stages, o)
+		}
+	}
+	return p
+}
+
+// appendStages appends the progress of the stages of an occurrence, as far as they have
+// any.
+func (s *State) appendStages(stages []work.StageProgress, o *Occurrence) []work.StageProgress {
+	for _, stageID := range o.Stages {
 		stage := s.Stages.Get(stageID)
-		saved := work.StageProgress{Occurrence: stage.Occurrence, Step: stage.Step}
+		saved := work.StageProgress{Occurrence: o.Number, Step: stage.Step}
 		for index, taskID := range stage.Tasks {
 			t := s.Tasks.Get(taskID)
 			if t.State == TaskDone {
@@ -96,10 +107,10 @@
 			}
 		}
 		if len(saved.Done)+len(saved.Failed)+len(saved.Crashed) > 0 {
-			p.Stages = append(p.Stages, saved)
+			stages = append(stages, saved)
 		}
 	}
-	return p
+	return stages
 }
 
 // WriteDone records the result of a store write and reports whether this package
@@ -164,6 +175,7 @@
 		j.savedCrashes = j.savingCrashes
 		s.Pools.Get(j.Pool).placementNeeded = true // suspects of the job may start
 	}
+	s.markOccurrencesSaved(j, j.savingState)
 	if j.savingState.State.Final() {
 		j.finalSaved, j.finalUnsaved, j.dirty = true, false, false
 		// Ends that were read meanwhile change nothing that would have to be saved.
--- a/dispatch/systems.go
+++ b/dispatch/systems.go
@@ -9,6 +9,7 @@
 	{Name: "load jobs of owned pools", Run: loadJobs},
 	{Name: "reconcile runs of earlier owners", Run: reconcilePools},
 	{Name: "give up runs with an expired lease", Run: expireRuns},
+	{Name: "open occurrences that are due", Run: openScheduledOccurrences},
 	{Name: "unblock stages that are due", Run: unblockDueStages},
 	{Name: "evict workers under maintenance", Run: evictWorkers},
 	{Name: "place ready tasks", Run: placeTasks},
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -80,18 +80,23 @@
 	Work         float64       // estimated core-seconds
 
 	remainingTime []time.Duration // by step: estimated time from its start to the end of the job
-	stages        []table.ID      // ordered by occurrence, then by step
-	unfinished    int             // number of stages that are not done
-	activeRuns    int             // number of tasks of which a run may exist
-	revision      int64           // store revision of the saved progress
-	dirty         bool
-	finalUnsaved  bool   // the final state is not durable yet
-	saveWrite     uint64 // ID of the write in flight; 0 for none
-	finalSaved    bool   // the final state is durable
-	unsavedEnds   []pendingEnd
-	savingEnds    []pendingEnd
-	savingState   *work.Progress
-	saveAfter     time.Time
+	// occurrences holds the rows of the occurrences in the tables, by number. The others
+	// are finished or not due yet; every one below nextOccurrence is in the tables or
+	// finished.
+	occurrences    []table.ID
+	finished       work.OccurrenceSet
+	nextOccurrence int
+	openTasks      int   // tasks of the occurrences in the tables
+	activeRuns     int   // number of tasks of which a run may exist
+	revision       int64 // store revision of the saved progress
+	dirty          bool
+	finalUnsaved   bool   // the final state is not durable yet
+	saveWrite      uint64 // ID of the write in flight; 0 for none
+	finalSaved     bool   // the final state is durable
+	unsavedEnds    []pendingEnd
+	savingEnds     []pendingEnd
+	savingState    *work.Progress
+	saveAfter      time.Time
 	// crashes counts the crashes that were put down to tasks of the job, savingCrashes
 	// and savedCrashes those in the write in flight and in the store.
 	crashes, savingCrashes, savedCrashes int
@@ -105,10 +110,22 @@
 	number      int64
 }
 
+// Occurrence is one repetition of the steps of a job; a job without a schedule has one.
+// It is in the tables from its due time, or from the first trace of a run of it, until
+// all of its steps are done and saved as such.
+type Occurrence struct {
+	Job        table.ID
+	Number     int
+	Stages     []table.ID // by step
+	unfinished int        // stages that are not done
+	activeRuns int        // tasks of which a run may exist
+	saved      bool       // it is saved as finished
+}
+
 // Stage is one step of one occurrence of a job.
 type Stage struct {
 	Job               table.ID
-	Occurrence        int
+	Occurrence        table.ID
 	Step              int
 	DueAt             time.Time
 	OpenDependencies  int // stages it depends on that are not done
@@ -360,12 +377,13 @@
 	// Partitions assigns the jobs and machines of each pool to partitions.
 	Partitions work.Partitions
 
-	Pools   table.Table[Pool]
-	Jobs    table.Table[Job]
-	Stages  table.Table[Stage]
-	Tasks   table.Table[Task]
-	Runs    table.Table[Run]
-	Workers table.Table[Worker]
+	Pools       table.Table[Pool]
+	Jobs        table.Table[Job]
+	Occurrences table.Table[Occurrence]
+	Stages      table.Table[Stage]
+	Tasks       table.Table[Task]
+	Runs        table.Table[Run]
+	Workers     table.Table[Worker]
 
 	Out       Effects
 	NextWrite func() uint64
@@ -379,11 +397,14 @@
 	latestIncarnation map[string]int64 // latest worker incarnation, by machine
 	storedContacts    map[string]ledger.Record
 	pendingWrites     map[uint64]pendingWrite
+	dueOccurrences    table.Heap[time.Time] // jobs, by the due time of their next occurrence
 	dueStages         table.Heap[time.Time] // stages that wait for their due time
 	awaitingWatch     []table.ID            // ledger rows accepted at a revision that the watch has not reached
 	lastEviction      time.Time
 	lastEarlyEviction time.Time
 	finishedJobs      []table.ID // jobs of which nothing runs and whose final state is saved
+	// finishedOccurrences are those of which nothing runs and that are saved as finished.
+	finishedOccurrences []table.ID
 
 	pollQueue      table.Heap[time.Time] // workers of owned pools without a poll in flight, by the time of the next one
 	leaseChecks    table.Heap[time.Time] // workers with runs, by the time at which their leases may have expired
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -250,7 +250,7 @@
 		Name: status.Task, Number: status.Run, Worker: worker, State: RunConfirmed, OrderedAt: tick.Now,
 		workerClock: clock, percent: status.Percent, progressAt: tick.Now, startedAt: tick.Now, speed: fullSpeed,
 	}
-	taskID := s.findTask(status.Task)
+	taskID := s.findTask(tick, status.Task)
 	kept := false
 	if t := s.Tasks.Get(taskID); t != nil {
 		stage, j, step := s.stageJobAndStep(t)
@@ -315,7 +315,7 @@
 // applyEnd records one ended run of a list.
 func (s *State) applyEnd(tick engine.Tick, worker table.ID, end work.RunEnd) {
 	w := s.Workers.Get(worker)
-	taskID := s.findTask(end.Task)
+	taskID := s.findTask(tick, end.Task)
 	s.log(events.RunEnded, events.F("task", end.Task.String()), events.F("run", end.Run), events.F("worker", w.ID),
 		events.F("reason", end.Reason.String()), events.F("end", end.Number), events.F("worker_clock_ms", w.clock.Milliseconds()))
 	s.count("run_ends_" + end.Reason.String())
--- a/entry/records.go
+++ b/entry/records.go
@@ -73,8 +73,9 @@
 		MaxUnavailable int           `json:",omitempty"`
 	}
 	storedProgress struct {
-		State  work.JobState
-		Stages []storedStage `json:",omitempty"`
+		State    work.JobState
+		Finished work.OccurrenceSet `json:",omitempty"`
+		Stages   []storedStage      `json:",omitempty"`
 	}
 	storedStage struct {
 		Occurrence int                `json:",omitempty"`
@@ -100,7 +101,7 @@
 		}
 		content = job
 	case *work.Progress:
-		progress := storedProgress{State: c.State}
+		progress := storedProgress{State: c.State, Finished: c.Finished}
 		for _, stage := range c.Stages {
 			progress.Stages = append(progress.Stages, storedStage(stage))
 		}
@@ -136,7 +137,10 @@
 		if stored.State < work.JobQueued || stored.State > work.JobCancelled {
 			return nil, errors.Newf("unknown job state %d", stored.State)
 		}
-		progress := &work.Progress{State: stored.State}
+		if !stored.Finished.IsValid() {
+			return nil, errors.Newf("finished occurrences %v are not in order", stored.Finished)
+		}
+		progress := &work.Progress{State: stored.State, Finished: stored.Finished}
 		for _, stage := range stored.Stages {
 			progress.Stages = append(progress.Stages, work.StageProgress(stage))
 		}
--- a/work/job.go
+++ b/work/job.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -97,6 +98,19 @@
 	return s.First.Add(time.Duration(occurrence) * s.Interval)
 }
 
+// validate returns an error if an occurrence has no due time, because the interval is
+// negative or the schedule longer than a time.Duration.
+func (s Schedule) validate() error {
+	switch {
+	case s.Interval < 0:
+		return errors.Newf("interval is %v, accepted are 0 and more", s.Interval)
+	case s.Times > 1 && s.Interval > math.MaxInt64/time.Duration(s.Times-1):
+		return errors.Newf("%d occurrences at an interval of %v exceed %v", s.Times, s.Interval, time.Duration(math.MaxInt64))
+	default:
+		return nil
+	}
+}
+
 // Step is a set of identical tasks.
 type Step struct {
 	Count          int
@@ -162,8 +176,33 @@
 	return nil
 }
 
-// maxTasksPerStep bounds the number of task rows that one step creates.
-const maxTasksPerStep = 10_000
+// TasksPerOccurrence returns the number of tasks of all steps.
+func (j *Job) TasksPerOccurrence() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
+// Limits of a job. Each task of an occurrence that is due is a row in the tables of an
+// owner.
+const (
+	maxTasksPerStep       = 10_000
+	maxTasksPerOccurrence = 20_000
+)
+
+// ValidateNew returns an error if a new job can't be run as described, or exceeds a
+// limit. Jobs that were accepted under other limits remain valid.
+func (j *Job) ValidateNew() error {
+	if err := j.Validate(); err != nil {
+		return err
+	}
+	if n := j.TasksPerOccurrence(); n > maxTasksPerOccurrence {
+		return errors.Newf("the steps have %d tasks, accepted are up to %d", n, maxTasksPerOccurrence)
+	}
+	return errors.Wrap(j.Schedule.validate(), "schedule")
+}
 
 func (s *Step) validate(index int) error {
 	if s.Count < 1 || s.Count > maxTasksPerStep {
--- a/work/records.go
+++ b/work/records.go
@@ -5,8 +5,10 @@
 // Progress is the durable state of a job's tasks. A job without such a record
 // has not started.
 type Progress struct {
-	State  JobState
-	Stages []StageProgress
+	State JobState
+	// Finished holds the occurrences of which all steps are done. Stages has none of them.
+	Finished OccurrenceSet
+	Stages   []StageProgress
 }
 
 // StageProgress is the progress of one step of one occurrence.
