Store the cancellation of an unknown job before it is answered

Cause: the answer was taken from the absence of the job in the store. A write of the submission without a result was still on its way; its only condition, that the job does not exist, held when the store carried it out 1.7 s later, and nothing told the pool's owner that the job was cancelled.

Change: the cancellation is stored before the 410, on the condition that the job still does not exist. A job stored after it is cancelled from the start. If the job came between lookup and write, it is cancelled as any other. The pool's owner removes cancellations without a job after the retention.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -13,10 +13,10 @@
 // syncJob updates the tables from a row of the ledger.
 func (s *State) syncJob(tick engine.Tick, row table.ID) {
 	l := s.Mirror.Jobs.Get(row)
-	if l == nil || l.Spec == nil {
+	if l == nil {
 		return
 	}
-	poolID, owned := s.poolByName.Get(s.Partitions.PartitionOf(l.Spec.Pool, l.ID))
+	poolID, owned := s.poolByName.Get(s.Partitions.PartitionOf(l.Pool(), l.ID))
 	if !owned || !s.Pools.Get(poolID).Loaded {
 		return
 	}
@@ -30,6 +30,9 @@
 	if !l.FinishedAt.IsZero() {
 		s.Pools.Get(poolID).finishedRecords.Put(row, l.FinishedAt.Add(s.Config.Retention+retentionSlack))
 	}
+	if l.Spec == nil {
+		return // its records are incomplete, or it was cancelled before it was stored
+	}
 	id, known := s.jobByID.Get(l.ID)
 	if !known {
 		if l.Progress != nil && l.Progress.State.Final() {
--- a/dispatch/retention.go
+++ b/dispatch/retention.go
@@ -44,7 +44,7 @@
 			if _, running := s.jobByID.Get(j.ID); running {
 				continue
 			}
-			for _, kind := range []ledger.Kind{ledger.KindJob, ledger.KindProgress, ledger.KindCancel} {
+			for _, kind := range storedKinds(j) {
 				write.Delete = append(write.Delete, ledger.Key{Kind: kind, Name: j.ID})
 			}
 		}
@@ -53,3 +53,12 @@
 		}
 	}
 }
+
+// storedKinds returns the kinds of records that are removed with a job. Of a job that was
+// cancelled and never stored only the cancellation is: the job may be submitted meanwhile.
+func storedKinds(j *ledger.Job) []ledger.Kind {
+	if j.Spec == nil {
+		return []ledger.Kind{ledger.KindCancel}
+	}
+	return []ledger.Kind{ledger.KindJob, ledger.KindProgress, ledger.KindCancel}
+}
--- a/entry/records.go
+++ b/entry/records.go
@@ -151,6 +151,8 @@
 			err = errors.New("field Node is missing")
 		}
 		return owner, err
+	case ledger.KindCancel:
+		return decodeAs[work.Cancellation](value)
 	case ledger.KindDemand:
 		return decodeAs[work.Demand](value)
 	case ledger.KindPartitions:
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -93,6 +93,7 @@
 	Verb     Verb
 	Job      string
 	Queue    string
+	Pool     string    // of the queue
 	Spec     *work.Job // of a Submit
 	Manifest int64     // version of the manifest that routed it
 	Deadline time.Time
@@ -101,6 +102,7 @@
 	writeID      uint64    // write in flight that contains the request, or 0
 	maybeDurable bool      // a write that contained it has an unknown result
 	retryAt      time.Time // zero until a write that contained it has failed
+	notStored    bool      // of a Cancel: a lookup has found no job
 }
 
 // Reply answers a request.
@@ -166,8 +168,8 @@
 		s.reply(tick, &r, Reply{Outcome: Accepted})
 	case r.Verb == Status && known:
 		s.reply(tick, &r, Reply{Outcome: StateReturned, State: job.State()})
-	case r.Verb == Cancel && known && job.State().Final():
-		s.reply(tick, &r, Reply{Outcome: Accepted})
+	case r.Verb == Cancel && job != nil && job.State().Final():
+		s.reply(tick, &r, Reply{Outcome: cancelOutcome(job)})
 	case s.Requests.Len() >= maxHeldRequests:
 		s.reply(tick, &r, Reply{Outcome: refusalOutcome(r.Verb), Reason: admission.TooManyHeld})
 	case r.Verb == Submit:
@@ -184,6 +186,14 @@
 	}
 }
 
+// cancelOutcome returns the answer to the cancellation of a job that can't run any more.
+func cancelOutcome(job *ledger.Job) Outcome {
+	if job.Spec == nil {
+		return JobNotFound
+	}
+	return Accepted
+}
+
 func refusalOutcome(v Verb) Outcome {
 	if v == Submit {
 		return NotAccepted
@@ -227,11 +237,12 @@
 func answerFromMirror(s *State, tick engine.Tick) {
 	for id, r := range s.Requests.All() {
 		_, job := s.Mirror.Find(r.Job)
-		if job == nil || job.Spec == nil {
-			continue
-		}
-		if r.Verb == Submit || (r.Verb == Cancel && job.State().Final()) {
+		switch {
+		case job == nil:
+		case r.Verb == Submit && job.Spec != nil:
 			s.complete(tick, id, Reply{Outcome: Accepted})
+		case r.Verb == Cancel && job.State().Final():
+			s.complete(tick, id, Reply{Outcome: cancelOutcome(job)})
 		}
 	}
 }
@@ -258,7 +269,9 @@
 	}
 }
 
-// writeRequests commits held submissions and cancellations in one write.
+// writeRequests commits held submissions and cancellations in one write. The cancellation
+// of a job that is not stored requires that it still isn't: its submission may be on its
+// way, and the job must not run after the cancellation was answered.
 func writeRequests(s *State, tick engine.Tick) {
 	if len(s.writes) >= maxWritesInFlight || (len(s.writes) > 0 && tick.Now.Before(s.lastWriteAt.Add(batchInterval))) {
 		return
@@ -267,20 +280,17 @@
 	var rows []table.ID
 	batched := map[string]bool{}
 	for id, r := range s.Requests.All() {
-		if r.writeID != 0 || tick.Now.Before(r.retryAt) || (r.Verb == Cancel && !s.isKnown(r.Job)) || r.Verb == Status {
+		if r.writeID != 0 || tick.Now.Before(r.retryAt) || (r.Verb == Cancel && !s.isKnown(r.Job) && !r.notStored) || r.Verb == Status {
 			continue
 		}
 		if len(rows) == maxBatch || batched[r.Job] {
 			continue
 		}
 		batched[r.Job] = true
-		if r.Verb == Submit {
-			key := ledger.Key{Kind: ledger.KindJob, Name: r.Job}
-			write.Expect = append(write.Expect, ledger.Condition{Key: key})
-			write.Put = append(write.Put, ledger.Put{Key: key, Content: r.Spec})
-		} else {
-			write.Put = append(write.Put, ledger.Put{Key: ledger.Key{Kind: ledger.KindCancel, Name: r.Job}})
+		if !s.isKnown(r.Job) {
+			write.Expect = append(write.Expect, ledger.Condition{Key: ledger.Key{Kind: ledger.KindJob, Name: r.Job}})
 		}
+		write.Put = append(write.Put, ledger.Put{Key: r.key(), Content: r.content()})
 		r.writeID = write.ID
 		rows = append(rows, id)
 	}
@@ -292,6 +302,22 @@
 	s.Writes.Add(write)
 }
 
+// key returns the key of the record that stores a submission or a cancellation.
+func (r *Request) key() ledger.Key {
+	if r.Verb == Submit {
+		return ledger.Key{Kind: ledger.KindJob, Name: r.Job}
+	}
+	return ledger.Key{Kind: ledger.KindCancel, Name: r.Job}
+}
+
+// content returns the content of that record.
+func (r *Request) content() any {
+	if r.Verb == Submit {
+		return r.Spec
+	}
+	return &work.Cancellation{Pool: r.Pool}
+}
+
 func (s *State) isKnown(job string) bool {
 	_, row := s.Mirror.Find(job)
 	return row != nil && row.Spec != nil
@@ -326,7 +352,11 @@
 		switch {
 		case result.Outcome == ledger.Applied:
 			s.applyCommitted(tick, r, result)
-			s.complete(tick, id, Reply{Outcome: Accepted})
+			outcome := Accepted
+			if r.notStored && !s.isKnown(r.Job) {
+				outcome = JobNotFound
+			}
+			s.complete(tick, id, Reply{Outcome: outcome})
 		case result.Outcome == ledger.Conflict && r.Verb == Submit && exists[r.Job]:
 			s.complete(tick, id, Reply{Outcome: Accepted})
 		case result.Outcome == ledger.Conflict:
@@ -344,11 +374,7 @@
 	if r == nil {
 		return // the request has expired; the watch will deliver the record
 	}
-	record := ledger.Record{Key: ledger.Key{Kind: ledger.KindCancel, Name: r.Job}, Revision: result.Revision, CreateRevision: result.Revision}
-	if r.Verb == Submit {
-		record.Key.Kind, record.Content = ledger.KindJob, r.Spec
-	}
-	s.Mirror.Apply(tick.Now, record)
+	s.Mirror.Apply(tick.Now, ledger.Record{Key: r.key(), Content: r.content(), Revision: result.Revision, CreateRevision: result.Revision})
 }
 
 // LookupDone records the result of a lookup.
@@ -365,6 +391,10 @@
 	case err != nil:
 		s.complete(tick, lookup.Request, Reply{Outcome: NotAvailable})
 	case job == nil || job.Spec == nil:
+		if r.Verb == Cancel {
+			r.notStored = true // answered once the cancellation is stored
+			return
+		}
 		s.complete(tick, lookup.Request, Reply{Outcome: JobNotFound})
 	case r.Verb == Status:
 		s.complete(tick, lookup.Request, Reply{Outcome: StateReturned, State: job.State()})
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -16,13 +16,22 @@
 	CreateRevision   int64
 	Progress         *work.Progress // nil until the job has started
 	ProgressRevision int64
-	Cancelled        bool
+	Cancelled        bool   // may be set before the job record is read, or exists
+	CancelPool       string // pool in the cancellation; empty without one
 	CancelRevision   int64
 	FinishedAt       time.Time // local time at which a final state was first observed
 
 	changed bool
 }
 
+// Pool returns the pool whose owner is responsible for the records of the job.
+func (j *Job) Pool() string {
+	if j.Spec != nil {
+		return j.Spec.Pool
+	}
+	return j.CancelPool
+}
+
 // State returns the state that is reported to callers.
 func (j *Job) State() work.JobState {
 	switch {
@@ -171,6 +180,9 @@
 			return false
 		}
 		j.CancelRevision, j.Cancelled = record.Revision, !record.Deleted
+		if cancellation, ok := record.Content.(*work.Cancellation); ok {
+			j.CancelPool = cancellation.Pool
+		}
 	}
 	if j.FinishedAt.IsZero() && j.State().Final() {
 		j.FinishedAt = now
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -12,7 +12,7 @@
 const (
 	KindJob          Kind = iota + 1 // *work.Job, by job ID
 	KindProgress                     // *work.Progress, by job ID
-	KindCancel                       // no content, by job ID
+	KindCancel                       // *work.Cancellation, by job ID
 	KindOwner                        // *work.Ownership, by duty; leased
 	KindEpoch                        // *work.Ownership, by duty; the last owner, not leased
 	KindPeer                         // *work.Ownership, by node; leased
--- a/work/records.go
+++ b/work/records.go
@@ -70,6 +70,12 @@
 	Incarnation int64 `json:"Born"`
 }
 
+// Cancellation is the durable record that a job must not run. It may exist before the job:
+// a submission whose write had no result may still be stored later.
+type Cancellation struct {
+	Pool string // pool of the job's queue; its owner removes the record
+}
+
 // MachineOrderState is the progress of an order for a machine.
 type MachineOrderState uint8
 
