--- a/entry/odd_entries_test.go
+++ b/entry/odd_entries_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"fmt"
+	"regexp"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against processes that end, stop following the registry, or lose work because
@@ -47,3 +50,23 @@
 		t.Error(violations)
 	}
 }
+
+// Guards against tasks that run twice because another writer has left an entry without the
+// time of the start in place of that of a live worker: it is no other incarnation.
+func TestEntryWithoutTheTimeOfTheStartEndsNoRuns(t *testing.T) {
+	s := newSite(t, 1)
+	s.submit("/q1/00000000000000b1", jobBody("run:2s", 4))
+	s.waitFor("runs began", func() bool { return len(s.platform.Starts()) == 4 })
+	worker := s.platform.Starts()[0].Worker // the others have room for its tasks
+	own := s.platform.Get("servers/" + worker)
+	odd := regexp.MustCompile(`,"born":\d+`).ReplaceAll(own, nil)
+	if bytes.Equal(own, odd) {
+		t.Fatalf("the entry of %s has no time of the start: %s", worker, own)
+	}
+	s.platform.Put("servers/"+worker, odd)
+	time.Sleep(10 * ownerRegistryPause)
+	if n := len(s.platform.Starts()); n != 4 {
+		t.Errorf("%d starts after the odd entry, want the 4 from before", n)
+	}
+	s.waitFor("job is completed", func() bool { return s.state("/q1/00000000000000b1") == "completed" })
+}
