Take surplus workers back for stages that fit on no other

Cause: the need of a pool counts cores, and the workers beyond it become surplus by their load and ID, whatever the waiting steps require. Nothing took one back for a label, a size, accelerators, a limit per worker or a gang.

Change: a stage that has waited 300 ms and fits on none of the kept workers takes the surplus workers back that it needs, released ones by a report that reclaims them. They can't become surplus again for 2 s.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -137,7 +137,8 @@
 		}
 		have := s.availableWorkers(tick.Now, id)
 		demand := work.Demand{Need: s.machineNeed(tick.Now, p, have), Have: len(have)}
-		reclaim := s.adjustSurplus(p, have, demand.Need+spareMachines)
+		reclaim := s.adjustSurplus(tick.Now, p, have, demand.Need+spareMachines)
+		reclaim = s.keepForWaitingStages(tick, p, have, reclaim)
 		for _, workerID := range have {
 			if w := s.Workers.Get(workerID); w.surplus && w.holdsNothing() && w.Machine != "" && !slices.Contains(reclaim, workerID) {
 				demand.Released = append(demand.Released, w.ID)
@@ -287,7 +288,7 @@
 // surplus, and clears the mark if there are too few others. It returns the
 // released workers among the latter; they may be used only after a report that
 // reclaims them is stored.
-func (s *State) adjustSurplus(p *Pool, have []table.ID, keep int) []table.ID {
+func (s *State) adjustSurplus(now time.Time, p *Pool, have []table.ID, keep int) []table.ID {
 	var kept, surplus []table.ID
 	for _, id := range have {
 		if s.Workers.Get(id).surplus {
@@ -297,7 +298,10 @@
 		}
 	}
 	if excess := len(kept) - keep; excess > 0 {
-		free := slices.DeleteFunc(kept, func(id table.ID) bool { return s.Workers.Get(id).load.longRunning > 0 })
+		free := slices.DeleteFunc(kept, func(id table.ID) bool {
+			w := s.Workers.Get(id)
+			return w.load.longRunning > 0 || now.Before(w.keptUntil)
+		})
 		slices.SortFunc(free, s.compareForRelease)
 		for _, id := range free[:min(excess, len(free))] {
 			s.Workers.Get(id).surplus = true
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -106,11 +106,15 @@
 		if !s.acceptsStarts(tick.Now, w) {
 			continue
 		}
-		all = append(all, candidate{id: id, w: w, free: w.Capacity.Sub(w.used), reserved: tick.Now.Before(w.reservedUntil)})
+		all = append(all, s.newCandidate(tick.Now, id, w))
 	}
 	return all
 }
 
+func (s *State) newCandidate(now time.Time, id table.ID, w *Worker) candidate {
+	return candidate{id: id, w: w, free: w.Capacity.Sub(w.used), reserved: now.Before(w.reservedUntil)}
+}
+
 func stepOf(s *State, t *Task) *work.Step {
 	_, _, step := s.stageJobAndStep(t)
 	return step
@@ -118,7 +122,12 @@
 
 // acceptsStarts reports whether a start may be sent to the worker.
 func (s *State) acceptsStarts(now time.Time, w *Worker) bool {
-	return w.Listed && w.tokenAccepted && w.contactSaved && !w.Draining && !w.underMaintenance && !w.surplus && !w.clockAt.IsZero() &&
+	return w.contactSaved && !w.surplus && s.reachable(now, w)
+}
+
+// reachable reports whether the worker itself can take a start.
+func (s *State) reachable(now time.Time, w *Worker) bool {
+	return w.Listed && w.tokenAccepted && !w.Draining && !w.underMaintenance && !w.clockAt.IsZero() &&
 		now.Sub(w.lastListAt) < reachableAfterList && w.failedPolls == 0 &&
 		!now.Before(w.noStartsUntil) && !now.Before(w.quarantinedUntil)
 }
@@ -300,7 +309,21 @@
 			return
 		}
 	}
-	step := &j.Spec.Steps[stage.Step]
+	chosen := s.placesForGang(tick, stage, j, &j.Spec.Steps[stage.Step], candidates)
+	if chosen == nil {
+		return
+	}
+	run := s.nextGangRun(s.Pools.Get(poolID), stage, j)
+	for i, taskID := range stage.Tasks {
+		if s.Tasks.Get(taskID).State == TaskReady {
+			s.startTask(tick, s.Pools.Get(poolID), taskID, &candidates[chosen[i]], run)
+		}
+	}
+}
+
+// placesForGang returns the index of a candidate for each member of a gang, all in one
+// rack if the step requires that, or nil if there is no room for all.
+func (s *State) placesForGang(tick engine.Tick, stage *Stage, j *Job, step *work.Step, candidates []candidate) []int {
 	racks := []string{""}
 	if step.SameRack {
 		racks = racks[:0]
@@ -311,19 +334,11 @@
 		}
 	}
 	for _, rack := range racks {
-		trial := slices.Clone(candidates)
-		chosen := s.assembleGang(tick, stage, j, step, trial, rack)
-		if chosen == nil {
-			continue
-		}
-		run := s.nextGangRun(s.Pools.Get(poolID), stage, j)
-		for i, taskID := range stage.Tasks {
-			if s.Tasks.Get(taskID).State == TaskReady {
-				s.startTask(tick, s.Pools.Get(poolID), taskID, &candidates[chosen[i]], run)
-			}
+		if chosen := s.assembleGang(tick, stage, j, step, slices.Clone(candidates), rack); chosen != nil {
+			return chosen
 		}
-		return
 	}
+	return nil
 }
 
 // assembleGang returns the index of a candidate for each member, or nil if some
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -272,7 +272,10 @@
 	underMaintenance   bool // a machine order takes the worker out of its pool
 	maintenancePending bool // its machine is scheduled for maintenance
 	surplus            bool // gets no new work because the pool has enough other machines
-	released           bool // listed as released in a demand report that may be stored
+	// keptUntil keeps the worker from becoming surplus, since a waiting stage fits on few
+	// others.
+	keptUntil time.Time
+	released  bool // listed as released in a demand report that may be stored
 }
 
 // ClockReading is the clock and incarnation stated in a worker's answer, with
