Let a failed task return to its worker if it fits on no other

Cause: the worker of the last failure was excluded for good.

Change: after 1 s the task may return there if no other worker that accepts starts could hold it, even when idle. As long as one could, the task waits for that one, since a worker that fails whatever it starts always has room.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -203,6 +203,9 @@
 			continue
 		}
 		best := s.bestCandidate(tick, stage, j, step, t, candidates, "")
+		if best < 0 && endAvoidance(tick.Now, step, t, candidates) {
+			best = s.bestCandidate(tick, stage, j, step, t, candidates, "")
+		}
 		if best < 0 && t.onProbation() {
 			s.reserveWorker(tick.Now, step, candidates)
 			continue
@@ -218,6 +221,23 @@
 	return stage.ReadyTasks < waiting
 }
 
+// avoidTime is how long a failed task waits for another worker, since one may come back or
+// be taken back, before it may return to that of the failure if it fits on no other.
+const avoidTime = time.Second
+
+// endAvoidance lets a task return to the worker of its last failure if it fits on no other
+// worker, even without other runs there. It reports whether that changes anything.
+func endAvoidance(now time.Time, step *work.Step, t *Task, candidates []candidate) bool {
+	fits := func(c candidate) bool {
+		return c.id != t.AvoidWorker && step.Reserved().Fits(c.w.Capacity) && (step.Label == "" || slices.Contains(c.w.Labels, step.Label))
+	}
+	if t.AvoidWorker == 0 || now.Sub(t.ReadySince) < avoidTime || slices.ContainsFunc(candidates, fits) {
+		return false
+	}
+	t.AvoidWorker = 0
+	return true
+}
+
 // mayRunElsewhere reports whether an earlier owner may have started the task on
 // a worker that has not answered this owner yet.
 func (s *State) mayRunElsewhere(p *Pool, j *Job, t *Task) bool {
@@ -304,12 +324,15 @@
 		return // members of the previous attempt have not ended yet
 	}
 	j := s.Jobs.Get(stage.Job)
+	step := &j.Spec.Steps[stage.Step]
 	for _, taskID := range stage.Tasks {
-		if s.mayRunElsewhere(s.Pools.Get(poolID), j, s.Tasks.Get(taskID)) {
+		t := s.Tasks.Get(taskID)
+		if s.mayRunElsewhere(s.Pools.Get(poolID), j, t) {
 			return
 		}
+		endAvoidance(tick.Now, step, t, candidates)
 	}
-	chosen := s.placesForGang(tick, stage, j, &j.Spec.Steps[stage.Step], candidates)
+	chosen := s.placesForGang(tick, stage, j, step, candidates)
 	if chosen == nil {
 		return
 	}
