Let long-running tasks share a worker when their spread fits nowhere

Cause: such tasks are spread over three workers, by a limit per worker of this system's own, which held even where it left a task without a place.

Change: a task that has been ready for 1 s exceeds that limit. A limit that the job sets itself holds as before.

--- a/dispatch/last_workers_test.go
+++ b/dispatch/last_workers_test.go
@@ -50,3 +50,27 @@
 		}
 	}
 }
+
+// Guards against a long-running task that never starts again after the loss of a worker,
+// because the others have reached a limit that its job does not set.
+func TestSpreadOfLongRunningTasksYieldsToAMissingWorker(t *testing.T) {
+	w := newSimulation(t, "a", "b", "c", "d")
+	w.runTime = 0
+	w.label("special", "a", "b", "c")
+	w.run(200 * time.Millisecond)
+	longRunning := step(5)
+	longRunning.LongRunning, longRunning.Label = true, "special"
+	w.accept(job(longRunning))
+	w.run(time.Second)
+	lost := w.workers["a"]
+	if len(lost.running) == 0 || len(lost.running) > 2 {
+		t.Fatalf("%d tasks run on worker a, want up to 2 of 5", len(lost.running))
+	}
+	lost.silent = true
+	w.ledger.Revision++
+	w.s.WorkerRemoved("a", w.ledger.Revision)
+	w.run(simulationMaxLease + 3*time.Second)
+	if n := len(w.workers["b"].running) + len(w.workers["c"].running); n != 5 {
+		t.Errorf("%d tasks run on the other workers with the label, want all 5", n)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -225,13 +225,22 @@
 // be taken back, before it may return to that of the failure if it fits on no other.
 const avoidTime = time.Second
 
+// spreadTime is how long a long-running task waits for a worker with few others of its
+// step. Then it starts beside them: a task that does not run serves nobody.
+const spreadTime = time.Second
+
+// hasWaited reports whether a task has been ready for a time.
+func (t *Task) hasWaited(now time.Time, d time.Duration) bool {
+	return t.State == TaskReady && now.Sub(t.ReadySince) >= d
+}
+
 // endAvoidance lets a task return to the worker of its last failure if it fits on no other
 // worker, even without other runs there. It reports whether that changes anything.
 func endAvoidance(now time.Time, step *work.Step, t *Task, candidates []candidate) bool {
 	fits := func(c candidate) bool {
 		return c.id != t.AvoidWorker && step.Reserved().Fits(c.w.Capacity) && (step.Label == "" || slices.Contains(c.w.Labels, step.Label))
 	}
-	if t.AvoidWorker == 0 || now.Sub(t.ReadySince) < avoidTime || slices.ContainsFunc(candidates, fits) {
+	if t.AvoidWorker == 0 || !t.hasWaited(now, avoidTime) || slices.ContainsFunc(candidates, fits) {
 		return false
 	}
 	t.AvoidWorker = 0
@@ -280,7 +289,9 @@
 		return false
 	case step.Label != "" && !slices.Contains(c.w.Labels, step.Label):
 		return false
-	case step.WorkerLimit() > 0 && stage.perWorker[c.id] >= step.WorkerLimit():
+	case step.MaxPerWorker > 0 && stage.perWorker[c.id] >= step.MaxPerWorker:
+		return false
+	case step.WorkerLimit() > 0 && stage.perWorker[c.id] >= step.WorkerLimit() && !t.hasWaited(now, spreadTime):
 		return false
 	case t.AvoidWorker == c.id && !step.LongRunning:
 		return false
