Start the members of a gang with the same checkpoint

Cause: each member kept the checkpoint that its own worker had listed last.

Change: a checkpoint that any member states is recorded for all of them.

--- a/dispatch/last_workers_test.go
+++ b/dispatch/last_workers_test.go
@@ -74,3 +74,39 @@
 		t.Errorf("%d tasks run on the other workers with the label, want all 5", n)
 	}
 }
+
+// Guards against a gang whose members are started with different checkpoints, so that
+// they can't work together.
+func TestGangStartsWithOneCheckpoint(t *testing.T) {
+	w := newSimulation(t, "a", "b", "c")
+	w.runTime = 0
+	w.run(200 * time.Millisecond)
+	gang := step(3)
+	gang.Gang, gang.Checkpointing, gang.MaxPerWorker = true, true, 1
+	w.accept(job(gang))
+	w.run(500 * time.Millisecond)
+	poolID, _ := w.s.poolByName.Get("pool")
+	pool := w.s.Pools.Get(poolID)
+	for i, id := range []string{"a", "b", "c"} {
+		f := w.workers[id]
+		if len(f.running) != 1 {
+			t.Fatalf("%d members run on %s", len(f.running), id)
+		}
+		worker, _ := w.s.workerByID.Get(id)
+		checkpoint := []string{"first", "first", "second"}[i]
+		w.s.Polled(w.tickNow(), w.s.target(worker, w.s.Workers.Get(worker), pool), PollAnswered, f.reading(w.now),
+			[]work.RunStatus{{Task: f.running[0].task, Run: f.running[0].run, Percent: 40, Checkpoint: checkpoint}}, nil)
+	}
+	checkpoints := map[string]int{}
+	w.intercept = func(o StartOrder) (StartAnswer, bool) { checkpoints[o.Checkpoint]++; return 0, false }
+	for _, f := range w.workers {
+		for _, r := range f.running {
+			f.end(r, work.EndGangBroken)
+		}
+		f.running = nil
+	}
+	w.run(2 * time.Second)
+	if len(checkpoints) != 1 || checkpoints["second"] != 3 {
+		t.Errorf("checkpoints of the starts are %v, want the newest for all three", checkpoints)
+	}
+}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -208,7 +208,7 @@
 	if t == nil {
 		return
 	}
-	t.Checkpoint = valueOrPrevious(status.Checkpoint, t.Checkpoint)
+	s.setCheckpoint(t, status.Checkpoint)
 	s.clearSuspicion(tick.Now, t, run)
 	_, _, step := s.stageJobAndStep(t)
 	monitored := !step.LongRunning && !step.BestEffort && !step.Gang && run.speed == fullSpeed && run.State == RunConfirmed
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -263,7 +263,8 @@
 			if t.State == TaskReady {
 				s.changeReadyTasks(tick.Now, t.Stage, -1)
 			}
-			t.State, t.Checkpoint = TaskActive, valueOrPrevious(status.Checkpoint, t.Checkpoint)
+			t.State = TaskActive
+			s.setCheckpoint(t, status.Checkpoint)
 			stage.perWorker[worker]++
 			t.accountFor(status.Run)
 		}
@@ -284,11 +285,18 @@
 	return id
 }
 
-func valueOrPrevious(value, previous string) string {
-	if value == "" {
-		return previous
+// setCheckpoint records a checkpoint that a worker has stated. That of any member of a
+// gang is valid for all of them, and all have to start with the same one.
+func (s *State) setCheckpoint(t *Task, checkpoint string) {
+	if checkpoint == "" || checkpoint == t.Checkpoint {
+		return
+	}
+	t.Checkpoint = checkpoint
+	if stage, _, step := s.stageJobAndStep(t); step.Gang {
+		for _, member := range stage.Tasks {
+			s.Tasks.Get(member).Checkpoint = checkpoint
+		}
 	}
-	return value
 }
 
 // endUnlistedRuns gives up runs that cannot exist because the worker's lists,
@@ -329,7 +337,7 @@
 	if t != nil {
 		t.LastRun = max(t.LastRun, end.Run)
 		t.accountFor(end.Run)
-		t.Checkpoint = valueOrPrevious(end.Checkpoint, t.Checkpoint)
+		s.setCheckpoint(t, end.Checkpoint)
 	}
 	if ended != 0 {
 		s.removeRun(ended)
