Ask for SIGHUP before anything else in the entry process

Cause: the signal was asked for at the end of the start. Until then it has its default effect.

Change: it is asked for in the first statement of main.

--- a/command/entry.go
+++ b/command/entry.go
@@ -23,6 +23,7 @@
 // which the platform collects logs.
 func Entry(args []string, stdout, stderr io.Writer) int {
 	const program = "waxwing-entry"
+	reload := entry.NotifyReload()
 	var flags entryFlags
 	if status, ok := parseServerFlags(program, "Runs on each machine of the operators' platform: answers clients and runs the jobs of the pools it owns.", args, &flags, stderr); !ok {
 		return status
@@ -38,7 +39,7 @@
 	return runApp(program, entry.MaxStopTime, stderr,
 		fx.Provide(func() *entry.Process {
 			p := entry.New(settings, logger, id)
-			p.DroppedLines = lines.Dropped
+			p.DroppedLines, p.Reload = lines.Dropped, reload
 			return p
 		}),
 		fx.Invoke(func(lifecycle fx.Lifecycle, p *entry.Process) { registerHooks(lifecycle, p) }))
--- a/entry/process.go
+++ b/entry/process.go
@@ -69,6 +69,9 @@
 	// DroppedLines returns how many log lines were dropped because the reader of
 	// the log was too slow. It may be nil.
 	DroppedLines func() int64
+	// Reload receives a value when the settings file has changed, see NotifyReload. It may
+	// be nil.
+	Reload chan os.Signal
 
 	settings *platform.Settings
 	log      *events.Logger
@@ -87,7 +90,6 @@
 	cancel  context.CancelFunc
 	calls   sync.WaitGroup
 	servers []*http.Server
-	signals chan os.Signal
 
 	manifest atomic.Pointer[work.Manifest]
 	// manifestUsableUntil is the time, in nanoseconds since clockEpoch, until which the
@@ -125,7 +127,7 @@
 		settings: settings, log: log, limiter: newLogLimiter(log), metrics: metrics.New("entry"),
 		store: platform.NewStoreClient(settings.StoreAddress), workers: platform.NewWorkerClient(),
 		machines: platform.NewMachineClient(settings.MachinesAddress, func(err error) { log.Log(events.MachineRowInvalid, events.Err(err)) }), advice: platform.NewAdviceClient(settings.AdviceAddress),
-		signals: make(chan os.Signal, 1), wakeRecords: make(chan struct{}, 1), wakeRegistry: make(chan struct{}, 1),
+		wakeRecords: make(chan struct{}, 1), wakeRegistry: make(chan struct{}, 1),
 	}
 	p.counters.scope, p.timers.scope = p.metrics.Scope, p.metrics.Scope
 	p.ctx, p.cancel = context.WithCancel(context.Background())
@@ -167,7 +169,6 @@
 	go p.watchRecords()
 	go p.watchRegistry()
 	go p.watchOperatorKeys()
-	signal.Notify(p.signals, syscall.SIGHUP)
 	go p.reloadOnSignal()
 	p.log.Log(events.ProcessStarted, events.F("node", p.settings.Node), events.F("zone", p.settings.Zone), events.F("metrics", p.settings.MetricsAddress))
 	return nil
@@ -235,6 +236,14 @@
 	})
 }
 
+// NotifyReload returns a channel for Process.Reload. It must be called first: a SIGHUP ends
+// a process that has not asked for it, and the platform sends one at any time.
+func NotifyReload() chan os.Signal {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return reload
+}
+
 // reloadOnSignal reads the settings file again on SIGHUP. A running process
 // cannot change its addresses, so the file is only validated and the result logged.
 func (p *Process) reloadOnSignal() {
@@ -242,7 +251,7 @@
 		select {
 		case <-p.ctx.Done():
 			return
-		case <-p.signals:
+		case <-p.Reload:
 		}
 		settings, err := platform.LoadSettings()
 		if err != nil {
@@ -362,7 +371,9 @@
 	}
 	shutdowns.Wait()
 	p.cancel()
-	signal.Stop(p.signals)
+	if p.Reload != nil {
+		signal.Stop(p.Reload)
+	}
 	p.log.Log(events.ProcessStopped)
 }
 
