--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -9,11 +9,12 @@
 	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
-// cancelUnstored receives request 1, a cancellation whose lookup finds no job, and returns the write
+// cancelUnstored receives request 1, the cancellation of job a, whose lookup finds no job,
+// and returns the write
 // that stores it.
-func (h *harness) cancelUnstored(t *testing.T, job string) ledger.Write {
+func (h *harness) cancelUnstored(t *testing.T) ledger.Write {
 	t.Helper()
-	h.receive(1, Cancel, job)
+	h.receive(1, Cancel, "a")
 	var lookup Lookup
 	h.s.Lookups.Drain(func(l Lookup) { lookup = l })
 	h.s.LookupDone(engine.Tick{Now: h.now}, lookup, nil, nil)
@@ -32,7 +33,7 @@
 // submission was on the way to the store meanwhile.
 func TestCancellationOfAnUnstoredJobIsStoredBeforeTheAnswer(t *testing.T) {
 	h := newHarness()
-	write := h.cancelUnstored(t, "a")
+	write := h.cancelUnstored(t)
 	job, cancel := ledger.Key{Kind: ledger.KindJob, Name: "a"}, ledger.Key{Kind: ledger.KindCancel, Name: "a"}
 	if len(write.Expect) != 1 || write.Expect[0] != (ledger.Condition{Key: job}) || len(write.Put) != 1 || write.Put[0].Key != cancel {
 		t.Fatalf("the write is %+v, want the cancellation if the job does not exist", write)
@@ -54,7 +55,7 @@
 // applied between the lookup and the write of the cancellation.
 func TestCancellationMeetsALateSubmission(t *testing.T) {
 	h := newHarness()
-	write := h.cancelUnstored(t, "a")
+	write := h.cancelUnstored(t)
 	h.s.WriteDone(engine.Tick{Now: h.now}, ledger.WriteResult{ID: write.ID, Outcome: ledger.Conflict, Current: []ledger.Record{
 		{Key: ledger.Key{Kind: ledger.KindJob, Name: "a"}, Content: &work.Job{ID: "a", Queue: "q"}, Revision: 8, CreateRevision: 8},
 	}})
@@ -75,7 +76,7 @@
 	want := map[ledger.Outcome]Outcome{ledger.Refused: NotAvailable, ledger.Unknown: Unresolved}
 	for stored, reply := range want {
 		h := newHarness()
-		write := h.cancelUnstored(t, "a")
+		write := h.cancelUnstored(t)
 		h.s.WriteDone(engine.Tick{Now: h.now}, ledger.WriteResult{ID: write.ID, Outcome: stored})
 		for range 40 {
 			h.tick(100 * time.Millisecond)
@@ -92,7 +93,7 @@
 // Guards against a store call for each repetition of a cancellation that is stored.
 func TestRepeatedCancellationIsAnsweredFromTheMirror(t *testing.T) {
 	h := newHarness()
-	write := h.cancelUnstored(t, "a")
+	write := h.cancelUnstored(t)
 	h.s.WriteDone(engine.Tick{Now: h.now}, ledger.WriteResult{ID: write.ID, Outcome: ledger.Applied, Revision: 9})
 	h.replies()
 	h.receive(2, Cancel, "a")
