Deliver cancellations while all records are read again

Cause: after the loss of the history a watcher delivers nothing before it has read all keys, which takes an owner 4 to 6 s on a slow link.

Change: after each page of a repeated read the watcher delivers the cancellations of that page and those written since the first page, the latter by a watch of their own prefix that does not wait.

--- a/entry/events.go
+++ b/entry/events.go
@@ -27,9 +27,12 @@
 
 func (e recordsChanged) apply(s *State, tick engine.Tick) {
 	s.applyBatch(tick, e.batch, e.receivedAt)
+	s.storeAnswered(tick.Now)
+	if e.batch.Partial {
+		return
+	}
 	s.Mirror.Revision = max(s.Mirror.Revision, e.batch.Revision)
 	s.Mirror.ReadAt = e.batch.ReadAt
-	s.storeAnswered(tick.Now)
 	s.recordsRead = s.recordsRead || e.batch.Full
 	s.markSynced(tick)
 }
--- a/entry/process.go
+++ b/entry/process.go
@@ -20,6 +20,7 @@
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/intake"
+	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/metrics"
 	"github.com/waxwingbridge/waxwingbridge/platform"
 	"github.com/waxwingbridge/waxwingbridge/work"
@@ -192,13 +193,15 @@
 // watchRecords posts the changes of the records of this system.
 func (p *Process) watchRecords() {
 	pause := func() time.Duration { return p.watchPause(ownerRecordsPause, nonOwnerRecordsPause) }
-	p.watch(platform.RecordPrefix, pause, p.wakeRecords, func(batch platform.Batch) event { return recordsChanged{batch, now()} })
+	// An owner must stop the tasks of cancelled jobs in time although it reads all records.
+	cancellations := storeKey(ledger.Key{Kind: ledger.KindCancel})
+	p.watch(platform.RecordPrefix, cancellations, pause, p.wakeRecords, func(batch platform.Batch) event { return recordsChanged{batch, now()} })
 }
 
 // watchRegistry posts the changes of the registry of workers and of the wave statuses.
 func (p *Process) watchRegistry() {
 	pause := func() time.Duration { return p.watchPause(ownerRegistryPause, nonOwnerRegistryPause) }
-	p.watch(platform.PlatformPrefix, pause, p.wakeRegistry, func(batch platform.Batch) event { return registryChanged{batch, now()} })
+	p.watch(platform.PlatformPrefix, "", pause, p.wakeRegistry, func(batch platform.Batch) event { return registryChanged{batch, now()} })
 }
 
 func (p *Process) watchPause(owner, nonOwner time.Duration) time.Duration {
@@ -214,13 +217,14 @@
 // changes of jobs and workers.
 func (p *Process) watchOperatorKeys() {
 	pause := func() time.Duration { return operatorWatchPause }
-	p.watch(platform.OperatorPrefix, pause, nil, func(batch platform.Batch) event { return operatorWrote{batch, now()} })
+	p.watch(platform.OperatorPrefix, "", pause, nil, func(batch platform.Batch) event { return operatorWrote{batch, now()} })
 }
 
-// watch posts the changes of all keys with a prefix until the process ends.
-func (p *Process) watch(prefix string, pause func() time.Duration, wake <-chan struct{}, wrap func(platform.Batch) event) {
+// watch posts the changes of all keys with a prefix until the process ends, those with
+// the prefix urgent also while all keys are read again.
+func (p *Process) watch(prefix, urgent string, pause func() time.Duration, wake <-chan struct{}, wrap func(platform.Batch) event) {
 	watcher := platform.Watcher{
-		Store: p.store, Prefix: prefix, Now: now, Pause: pause, Wake: wake,
+		Store: p.store, Prefix: prefix, Urgent: urgent, Now: now, Pause: pause, Wake: wake,
 		OnError: func(err error) {
 			if err == nil {
 				p.log.Log(events.StoreAvailable, events.F("prefix", prefix))
--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -10,8 +10,7 @@
 )
 
 // cancelUnstored receives request 1, the cancellation of job a, whose lookup finds no job,
-// and returns the write
-// that stores it.
+// and returns the write that stores it.
 func (h *harness) cancelUnstored(t *testing.T) ledger.Write {
 	t.Helper()
 	h.receive(1, Cancel, "a")
