Bound the need of a pool and the sizes of new jobs

Cause: the need of a pool in machines followed the declared sizes, and the owner of the fleet lists missing machines one by one.

Change: a report names up to 10,000 machines. A resource of a new task is accepted up to 1e9, so that sums over a pool fit into an integer on every processor.

Result: TestNeedIsBoundedWhateverJobsDeclare failed before (294,117,648 machines) and passes, as do the new rows of the limits of new jobs.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -43,6 +43,9 @@
 	// spareMachines is the number of machines that a pool keeps beyond its need
 	// for the next job.
 	spareMachines = 1
+	// maxNeed bounds the need that follows from the sizes that clients declare: the owner
+	// of the fleet allots missing machines one by one. No fleet has that many.
+	maxNeed = 10_000
 	// minMachines is the smallest size that a pool aims for.
 	minMachines = 2
 	// arrivalWindow is the longest window over which the arrival rate of work is
@@ -255,7 +258,8 @@
 	// as the pool must be able to run at a time, beside what waits already.
 	wanted := max(float64(busy), p.expectedArrivalRate(now)*1000) + waiting
 	perMachine := float64(capacity) / float64(len(have)) * usableShare
-	return s.smoothNeed(now, p, max(int(math.Ceil(wanted/max(1, perMachine))), longRunning+spareMachines, s.longRunningWorkers(p)+spareMachines, minMachines))
+	machines := int(math.Ceil(min(wanted/max(1, perMachine), maxNeed)))
+	return s.smoothNeed(now, p, max(machines, longRunning+spareMachines, s.longRunningWorkers(p)+spareMachines, minMachines))
 }
 
 // longRunningWorkers returns how many workers the long-running steps of a pool
--- a/dispatch/demand_test.go
+++ b/dispatch/demand_test.go
@@ -297,3 +297,17 @@
 		t.Errorf("the start of a turn with %.0f cores is extrapolated to %.0f, want 1.5 to %v times as much", rate, expected, maxGrowth)
 	}
 }
+
+// Guards against an owner of the fleet that exceeds its memory because one job declares
+// tasks of millions of cores: it lists the missing machines of a report one by one.
+func TestNeedIsBoundedWhateverJobsDeclare(t *testing.T) {
+	w := newSimulation(t, "a", "b")
+	w.run(time.Second)
+	absurd := step(1000)
+	absurd.Size.MilliCores = 1_000_000_000
+	w.accept(job(absurd))
+	w.run(2 * time.Second)
+	if w.demand.Need > maxNeed {
+		t.Errorf("the pool reports a need of %d machines", w.demand.Need)
+	}
+}
--- a/work/job.go
+++ b/work/job.go
@@ -190,6 +190,9 @@
 const (
 	maxTasksPerStep       = 10_000
 	maxTasksPerOccurrence = 20_000
+	// maxResourceAmount bounds each resource of a task, in millicores, megabytes or
+	// accelerators. The sum over all tasks of a pool fits into an integer.
+	maxResourceAmount = 1_000_000_000
 )
 
 // ValidateNew returns an error if a new job can't be run as described, or exceeds a
@@ -201,6 +204,12 @@
 	if n := j.TasksPerOccurrence(); n > maxTasksPerOccurrence {
 		return errors.Newf("the steps have %d tasks, accepted are up to %d", n, maxTasksPerOccurrence)
 	}
+	for i := range j.Steps {
+		size := j.Steps[i].Size
+		if amount := max(size.MilliCores, size.MemoryMB, size.Accelerators); amount > maxResourceAmount {
+			return errors.Newf("step %d: a resource is %d, accepted are up to %d", i, amount, maxResourceAmount)
+		}
+	}
 	return errors.Wrap(j.Schedule.validate(), "schedule")
 }
 
--- a/work/occurrences_test.go
+++ b/work/occurrences_test.go
@@ -4,6 +4,8 @@
 	"math/rand"
 	"testing"
 	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/placement"
 )
 
 // Guards against an occurrence that runs twice or never because the compact set of the
@@ -52,6 +54,8 @@
 		"a year, every five minutes":   {Job{Steps: steps(6, 6), Schedule: Schedule{Times: 105_120, Interval: 5 * time.Minute}}, true},
 		"as many tasks as are allowed": {Job{Steps: steps(maxTasksPerStep, maxTasksPerOccurrence-maxTasksPerStep)}, true},
 		"too many tasks":               {Job{Steps: steps(maxTasksPerStep, maxTasksPerStep, 1)}, false},
+		"as large as is allowed":       {Job{Steps: []Step{{Count: 1, Size: placement.Resources{MilliCores: maxResourceAmount}}}}, true},
+		"absurd size":                  {Job{Steps: []Step{{Count: 1, Size: placement.Resources{MemoryMB: maxResourceAmount + 1}}}}, false},
 		"negative interval":            {Job{Steps: steps(1), Schedule: Schedule{Times: 2, Interval: -1}}, false},
 		"longer than a duration":       {Job{Steps: steps(1), Schedule: Schedule{Times: 1 << 40, Interval: time.Hour}}, false},
 	}
