--- a/dispatch/indexes.go
+++ b/dispatch/indexes.go
@@ -117,6 +117,7 @@
 		run.longRunning, run.latencySensitive, run.bestEffort = step.LongRunning, step.LatencyTarget > 0, step.BestEffort
 		run.onProbation = t.onProbation()
 	}
+	s.chargeTeam(&run)
 	id := s.Runs.Insert(run)
 	if run.Task != 0 {
 		s.setTaskRun(run.Task, id)
@@ -170,6 +171,7 @@
 func (s *State) deleteRun(id table.ID) {
 	s.stopRequests.Remove(id)
 	s.bestEffortRuns.Remove(id)
+	s.releaseTeam(s.Runs.Get(id))
 	s.Runs.Delete(id)
 }
 
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -58,9 +58,10 @@
 	firstReportRevision int64 // store revision of this owner's first report; 0 before it
 	startBudget         int   // starts that the current placement pass may still order
 	arrivals            []arrival
-	longRunningJobs     []table.ID // jobs with long-running steps
-	windowNeed          int        // highest need in the current window
-	previousNeed        int        // highest need in the previous window
+	longRunningJobs     []table.ID                     // jobs with long-running steps
+	teams               map[string]placement.Resources // by team: what its runs that may exist occupy
+	windowNeed          int                            // highest need in the current window
+	previousNeed        int                            // highest need in the previous window
 	windowStart         time.Time
 	unexplainedCrashAt  time.Time // last crash of a worker that no task explains
 	placementNeeded     bool      // set by any change since the last placement that may allow a start
@@ -201,6 +202,10 @@
 	State     RunState
 	OrderedAt time.Time
 	Size      placement.Resources
+	// team is charged with teamSize while the run may exist; it is empty for none.
+	team     string
+	teamSize placement.Resources
+	teamPool table.ID // the pool whose use contains it
 
 	workerClock     time.Duration // the worker's clock in the last answer that proved the run to exist
 	percent         int
@@ -377,6 +382,8 @@
 	Mirror *ledger.JobMirror
 	// IsPool reports whether the manifest in force has the pool. It is nil until one is.
 	IsPool func(pool string) bool
+	// Team returns the team with the name in the manifest in force, or nil.
+	Team func(name string) *work.Team
 	// Partitions assigns the jobs and machines of each pool to partitions.
 	Partitions work.Partitions
 
@@ -433,7 +440,7 @@
 // New returns an empty state.
 func New(config Config, jobs *ledger.JobMirror, nextWrite func() uint64, timeOfDay func() time.Time) *State {
 	return &State{
-		IsPool: func(string) bool { return true }, Config: config, Mirror: jobs, NextWrite: nextWrite, TimeOfDay: timeOfDay,
+		IsPool: func(string) bool { return true }, Team: func(string) *work.Team { return nil }, Config: config, Mirror: jobs, NextWrite: nextWrite, TimeOfDay: timeOfDay,
 		underMaintenance: map[string]bool{}, storedContacts: map[string]ledger.Record{}, latestIncarnation: map[string]int64{}, pendingWrites: map[uint64]pendingWrite{},
 	}
 }
--- a/entry/records.go
+++ b/entry/records.go
@@ -48,6 +48,7 @@
 	storedJob struct {
 		Queue      string
 		Pool       string
+		Team       string `json:",omitempty"`
 		Payload    string `json:",omitempty"`
 		Steps      []storedStep
 		Schedule   work.Schedule `json:",omitzero"`
@@ -95,7 +96,7 @@
 	var content any
 	switch c := put.Content.(type) {
 	case *work.Job:
-		job := storedJob{Queue: c.Queue, Pool: c.Pool, Payload: c.Payload, Schedule: c.Schedule, Limits: c.Limits, AcceptedAt: c.AcceptedAt.UnixMilli()}
+		job := storedJob{Queue: c.Queue, Pool: c.Pool, Team: c.Team, Payload: c.Payload, Schedule: c.Schedule, Limits: c.Limits, AcceptedAt: c.AcceptedAt.UnixMilli()}
 		for _, step := range c.Steps {
 			job.Steps = append(job.Steps, storedStep(step))
 		}
@@ -122,7 +123,7 @@
 			return nil, err
 		}
 		job := &work.Job{
-			ID: key.Name, Queue: stored.Queue, Pool: stored.Pool, Payload: stored.Payload, Schedule: stored.Schedule,
+			ID: key.Name, Queue: stored.Queue, Pool: stored.Pool, Team: stored.Team, Payload: stored.Payload, Schedule: stored.Schedule,
 			Limits: stored.Limits, AcceptedAt: time.UnixMilli(stored.AcceptedAt),
 		}
 		for _, step := range stored.Steps {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -266,6 +266,7 @@
 	}
 	s.Manifest = m
 	s.Dispatch.IsPool = func(pool string) bool { return m.Pool(pool) != nil }
+	s.Dispatch.Team = m.Team
 	s.updateRequiredDuties(tick)
 	s.Logs.Add(events.Record{Event: events.ManifestInForce, Fields: []events.Field{
 		events.F("version", m.Version), events.F("revision", revision), events.F("queues", len(m.Queues)), events.F("pools", len(m.Pools)),
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -60,11 +60,12 @@
 	JobNotFound                      // certainly not in the store
 	CountReturned                    // Reply.Count holds the answer
 	NotAvailable                     // cannot be answered now
+	OtherTeam                        // the job belongs to another team; nothing was done
 )
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	names := [...]string{"invalid", "accepted", "not-accepted", "unresolved", "shown", "no-such-job", "counted", "not-available"}
+	names := [...]string{"invalid", "accepted", "not-accepted", "unresolved", "shown", "no-such-job", "counted", "not-available", "other-team"}
 	if int(o) >= len(names) {
 		return names[0]
 	}
@@ -94,6 +95,7 @@
 	Job      string
 	Queue    string
 	Pool     string    // of the queue
+	Team     string    // on whose behalf it is made; empty if the queue needs no key
 	Spec     *work.Job // of a Submit
 	Manifest int64     // version of the manifest that routed it
 	Deadline time.Time
@@ -164,6 +166,8 @@
 		s.reply(tick, &r, Reply{Outcome: NotAvailable, Reason: admission.MirrorOld})
 	case r.Verb == CountPending:
 		s.reply(tick, &r, Reply{Outcome: CountReturned, Count: s.Mirror.PendingJobs(r.Queue)})
+	case known && r.isForeign(job.Spec):
+		s.reply(tick, &r, Reply{Outcome: OtherTeam})
 	case r.Verb == Submit && known:
 		s.reply(tick, &r, Reply{Outcome: Accepted})
 	case r.Verb == Status && known:
@@ -186,6 +190,12 @@
 	}
 }
 
+// isForeign reports whether the request concerns a job of another team. Job IDs are chosen
+// by clients, so that two teams may choose the same.
+func (r *Request) isForeign(job *work.Job) bool {
+	return r.Team != "" && job.Team != "" && r.Team != job.Team
+}
+
 // cancelOutcome returns the answer to the cancellation of a job that can't run any more.
 func cancelOutcome(job *ledger.Job) Outcome {
 	if job.Spec == nil {
@@ -239,6 +249,8 @@
 		_, job := s.Mirror.Find(r.Job)
 		switch {
 		case job == nil:
+		case job.Spec != nil && r.isForeign(job.Spec):
+			s.complete(tick, id, Reply{Outcome: OtherTeam})
 		case r.Verb == Submit && job.Spec != nil:
 			s.complete(tick, id, Reply{Outcome: Accepted})
 		case r.Verb == Cancel && job.State().Final():
@@ -358,7 +370,11 @@
 			}
 			s.complete(tick, id, Reply{Outcome: outcome})
 		case result.Outcome == ledger.Conflict && r.Verb == Submit && exists[r.Job]:
-			s.complete(tick, id, Reply{Outcome: Accepted})
+			outcome := Accepted
+			if _, job := s.Mirror.Find(r.Job); job != nil && job.Spec != nil && r.isForeign(job.Spec) {
+				outcome = OtherTeam
+			}
+			s.complete(tick, id, Reply{Outcome: outcome})
 		case result.Outcome == ledger.Conflict:
 			// Another job of the batch exists already; this request goes into the
 			// next write.
@@ -396,6 +412,8 @@
 			return
 		}
 		s.complete(tick, lookup.Request, Reply{Outcome: JobNotFound})
+	case r.isForeign(job.Spec):
+		s.complete(tick, lookup.Request, Reply{Outcome: OtherTeam})
 	case r.Verb == Status:
 		s.complete(tick, lookup.Request, Reply{Outcome: StateReturned, State: job.State()})
 	case job.State().Final():
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -74,6 +74,14 @@
 	return row, m.Jobs.Get(row)
 }
 
+// Spec returns the specification of a job, or nil if the mirror has none.
+func (m *JobMirror) Spec(id string) *work.Job {
+	if _, j := m.Find(id); j != nil {
+		return j.Spec
+	}
+	return nil
+}
+
 // PendingJobs returns the number of accepted jobs of the queue that have not
 // started. Jobs with a schedule are not counted.
 func (m *JobMirror) PendingJobs(queue string) int { return m.pending[queue] }
--- a/work/job.go
+++ b/work/job.go
@@ -50,6 +50,7 @@
 	ID       string
 	Queue    string
 	Pool     string // pool whose workers run the tasks
+	Team     string // team that submitted it; empty for public queues and where there are no teams
 	Payload  string // opaque; passed to every run
 	Steps    []Step
 	Schedule Schedule
--- a/work/manifest.go
+++ b/work/manifest.go
@@ -11,6 +11,12 @@
 	Queues       []Queue
 	Pools        []Pool
 	MaxBodyBytes int
+
+	// Teams are the teams that SetTeams has set.
+	Teams      []Team
+	hasTeams   bool
+	teamByName map[string]int
+	teamByKey  map[KeyHash]int
 }
 
 // Queue accepts jobs for one pool.
@@ -19,6 +25,7 @@
 	Host   string
 	Prefix string // path prefix, followed by the job's ID
 	Pool   string
+	Public bool // calls need no key and belong to no team
 	Limits Limits
 }
 
