--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -51,7 +51,10 @@
 	// arrivalWindow is the longest window over which the arrival rate of work is
 	// measured, and arrivalWindow/arrivalWindowDivisor the shortest one, within
 	// which a rise of the load is detected if many jobs arrive per second.
-	arrivalWindow        = 500 * time.Millisecond
+	arrivalWindow = 500 * time.Millisecond
+	// usualWatchDelay is the time in which the watch of an owner usually delivers a job:
+	// its pause, the call, and the group commit that stores the job.
+	usualWatchDelay      = 100 * time.Millisecond
 	arrivalWindowDivisor = 4
 	// trendWindow is how far back the arrival rate before arrivalWindow is measured,
 	// to tell whether the load is rising.
@@ -73,10 +76,12 @@
 	work float64 // core-seconds
 }
 
-// recordArrival includes a job in the arrival rate of the pool.
-func (p *Pool) recordArrival(now time.Time, j *Job) {
+// recordArrival includes a job that was accepted some time ago in the arrival rate of the
+// pool. Beyond the usual delay of the watch the time of its acceptance counts: the jobs that
+// a stalled watch delivers at once would otherwise look like a load that no fleet can serve.
+func (p *Pool) recordArrival(now time.Time, acceptedAgo time.Duration, j *Job) {
 	if now.Sub(p.OwnedSince) > arrivalWindow { // the jobs that a new owner sees first were accepted earlier
-		p.arrivals = append(p.arrivals, arrival{at: now, work: j.Work})
+		p.arrivals = append(p.arrivals, arrival{at: now.Add(-max(0, acceptedAgo-usualWatchDelay)), work: j.Work})
 	}
 }
 
--- a/dispatch/demand_test.go
+++ b/dispatch/demand_test.go
@@ -113,7 +113,7 @@
 func TestWorkArrivalRateGrowsWithJobCount(t *testing.T) {
 	now := simulationStart
 	p := &Pool{OwnedSince: now.Add(-time.Minute)}
-	p.recordArrival(now, &Job{Work: 10})
+	p.recordArrival(now, 0, &Job{Work: 10})
 	if cores := p.workArrivalRate(now); cores != 0 {
 		t.Errorf("the arrival rate after one job is %v cores, want 0", cores)
 	}
@@ -121,7 +121,7 @@
 	steady := 10 / interval.Seconds()
 	for i := range 25 {
 		now = now.Add(interval)
-		p.recordArrival(now, &Job{Work: 10})
+		p.recordArrival(now, 0, &Job{Work: 10})
 		if cores := p.workArrivalRate(now); cores > steady {
 			t.Errorf("the measured arrival rate after %d jobs is %v cores, the actual one only %v", i+2, cores, steady)
 		}
@@ -283,7 +283,7 @@
 	arrive := func(jobsPerSecond float64, d time.Duration) {
 		for end := now.Add(d); now.Before(end); {
 			now = now.Add(time.Duration(float64(time.Second) / jobsPerSecond))
-			p.recordArrival(now, &Job{Work: 10})
+			p.recordArrival(now, 0, &Job{Work: 10})
 		}
 	}
 	arrive(35, 2*time.Second)
@@ -311,3 +311,28 @@
 		t.Errorf("the pool reports a need of %d machines", w.demand.Need)
 	}
 }
+
+// Guards against jobs that a stalled watch delivers at once and that count as a load of
+// that moment: the pool would ask for more machines than the fleet has, and keep those
+// that the pool whose demand rises next needs. Load: 40 jobs a second, a stall of 1.2 s.
+func TestArrivalRateAfterAStalledWatch(t *testing.T) {
+	const jobsPerSecond, workOfJob = 40, 5.0
+	stall := 1200 * time.Millisecond
+	start := time.Unix(1000, 0)
+	former, present := &Pool{}, &Pool{}
+	now := start.Add(10 * time.Second)
+	for i := range int(jobsPerSecond * stall.Seconds()) {
+		age := stall - time.Duration(i)*time.Second/jobsPerSecond
+		former.recordArrival(now, 0, &Job{Work: workOfJob}) // as if all had been accepted now
+		present.recordArrival(now, age, &Job{Work: workOfJob})
+	}
+	const real = jobsPerSecond * workOfJob
+	before, after := former.workArrivalRate(now), present.workArrivalRate(now)
+	t.Logf("real rate %v cores, measured %.0f as arrivals of the moment, %.0f by the time of acceptance", real, before, after)
+	if after > 2*real || after < real/2 {
+		t.Errorf("the measured rate is %.0f cores, want about %v", after, real)
+	}
+	if before < 5*real {
+		t.Errorf("the former rule measures %.0f cores: the load of this test is too small to show the fault", before)
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -43,7 +43,7 @@
 	j := s.Jobs.Get(id)
 	j.revision = max(j.revision, l.ProgressRevision)
 	if !known {
-		s.Pools.Get(poolID).recordArrival(tick.Now, j)
+		s.Pools.Get(poolID).recordArrival(tick.Now, s.acceptedAgo(j.Spec), j)
 	}
 	if l.Cancelled && j.Final == 0 {
 		s.finishJob(id, work.JobCancelled, "")
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -52,10 +52,7 @@
 		criticalPath = max(criticalPath, pathLength[i])
 		workload += float64(step.Count) * step.Estimate.Seconds() * float64(step.Reserved().MilliCores) / 1000
 	}
-	age := s.TimeOfDay().Sub(j.Spec.AcceptedAt)
-	if age < 0 || age > time.Hour {
-		age = 0 // implausible: the clocks of the two machines differ
-	}
+	age := s.acceptedAgo(j.Spec)
 	allowed := time.Duration(max(1, j.Spec.Limits.SlowdownFactor)*float64(criticalPath)) + j.Spec.Limits.Latency
 	j.Deadline = tick.Now.Add(allowed - age)
 	j.remainingTime = make([]time.Duration, len(j.Spec.Steps))
@@ -70,6 +67,16 @@
 	j.Work, j.ValueDensity = workload, 1/max(0.001, workload)
 }
 
+// acceptedAgo returns how long ago a job was accepted, or 0 if the clocks of the two
+// machines differ too much to tell.
+func (s *State) acceptedAgo(job *work.Job) time.Duration {
+	age := s.TimeOfDay().Sub(job.AcceptedAt)
+	if age < 0 || age > time.Hour {
+		return 0
+	}
+	return age
+}
+
 // placeTasks starts ready tasks on workers with free capacity.
 func placeTasks(s *State, tick engine.Tick) {
 	for id, p := range s.Pools.All() {
