--- a/entry/records.go
+++ b/entry/records.go
@@ -19,6 +19,7 @@
 	ledger.KindJob: "job", ledger.KindProgress: "progress", ledger.KindCancel: "cancel", ledger.KindOwner: "owner",
 	ledger.KindEpoch: "epoch", ledger.KindPeer: "peer", ledger.KindContacts: "contacts", ledger.KindMachineOrder: "machine",
 	ledger.KindMachineMove: "move", ledger.KindDemand: "demand", ledger.KindPartitions: "partitions",
+	ledger.KindAllotment: "allotment",
 }
 
 func storeKey(key ledger.Key) string {
@@ -107,6 +108,10 @@
 			progress.Stages = append(progress.Stages, storedStage(stage))
 		}
 		content = progress
+	case *work.Demand:
+		content = storeDemand(c)
+	case *work.Allotment:
+		content = storeAllotment(c)
 	default:
 		content = put.Content
 	}
@@ -155,7 +160,9 @@
 	case ledger.KindCancel:
 		return decodeAs[work.Cancellation](value)
 	case ledger.KindDemand:
-		return decodeAs[work.Demand](value)
+		return decodeDemand(value)
+	case ledger.KindAllotment:
+		return decodeAllotment(value)
 	case ledger.KindPartitions:
 		return decodeAs[work.Partitions](value)
 	case ledger.KindMachineOrder, ledger.KindMachineMove:
--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -37,6 +37,16 @@
 		{Key: ledger.Key{Kind: ledger.KindMachineOrder, Name: "m"}, Content: &work.MachineOrder{Machine: "m", Worker: "w", Pool: "p", Wave: 1, State: work.MachineIdle}},
 		{Key: ledger.Key{Kind: ledger.KindMachineMove, Name: "m"}, Content: &work.MachineOrder{Machine: "m", Target: "t"}},
 		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "p"}, Content: &work.Demand{Need: 3, Have: 2, Released: []string{"w"}}},
+		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "q"}, Content: &work.Demand{Need: 3, Have: 2, Obeyed: 7, Incomplete: true, Teams: []work.TeamDemand{
+			{Team: "a", Use: placement.Resources{MilliCores: 500, MemoryMB: 64}},
+			{Team: "b", Waiting: placement.Resources{MilliCores: 1, Accelerators: 2}},
+		}}},
+		{Key: ledger.Key{Kind: ledger.KindAllotment, Name: "teams"}, Content: &work.Allotment{
+			Revision: 7, Manifest: 3, Partitions: []string{"p", "q#0"}, Teams: []work.TeamAllotment{{
+				Team: "a", Cap: placement.Resources{MilliCores: 4000}, Default: work.AllottedPart{Amount: placement.Resources{MilliCores: 1000}, Held: placement.Resources{MilliCores: 1000}},
+				Parts: []work.PartitionPart{{Partition: 1, AllottedPart: work.AllottedPart{Held: placement.Resources{MilliCores: 3000}, Lowered: 6}}},
+			}},
+		}},
 	} {
 		set, err := encodeRecord(put)
 		if err != nil {
@@ -55,7 +65,7 @@
 // Guards against malformed records, for example of another writer, that crash the
 // process or are partly applied.
 func TestBadRecordsAreErrors(t *testing.T) {
-	for _, name := range []string{"job/j", "progress/j", "owner/p", "contacts/p", "machine/m", "demand/p", "unknown/x", "nothing"} {
+	for _, name := range []string{"job/j", "progress/j", "owner/p", "contacts/p", "machine/m", "demand/p", "allotment/teams", "unknown/x", "nothing"} {
 		for _, value := range []string{"", "{", `"text"`, `{"Steps":7}`, "\xff"} {
 			if name == "demand/p" && value == `{"Steps":7}` {
 				continue // decodes as an empty demand; unknown fields are ignored
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -22,6 +22,7 @@
 	KindDemand                       // *work.Demand, by pool
 	KindPartitions                   // *work.Partitions, a single record
 	KindWaveStatus                   // bool: whether the wave is completed, by wave number
+	KindAllotment                    // *work.Allotment, a single record
 )
 
 // Key identifies a record.
--- a/work/records.go
+++ b/work/records.go
@@ -95,6 +95,12 @@
 	// the owner starts nothing there until a later report without them is
 	// stored.
 	Released []string
+	// Teams lists the teams with a cap that use something or wait for their cap.
+	Teams []TeamDemand
+	// Obeyed is the revision of the allotment that the owner obeys; 0 without one.
+	Obeyed int64
+	// Incomplete is set while workers may hold runs that Teams does not contain.
+	Incomplete bool
 }
 
 // MachineOrder is the durable record of an order that takes a machine out of its
