--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -140,6 +140,10 @@
 	MachineRowInvalid        = Event{868, log.WarnLevel, "row of the machine list was left out"}
 	StoreReadInFull          = Event{869, log.InfoLevel, "all keys of a watch were read again"}
 	WorkerKept               = Event{870, log.InfoLevel, "surplus worker was taken back for a waiting stage"}
+	AllotmentChanged         = Event{871, log.InfoLevel, "part of a team's cap in a partition was changed"}
+	AllotmentNotSaved        = Event{872, log.WarnLevel, "allotment of the teams' caps could not be saved"}
+	CapWaitBegan             = Event{873, log.InfoLevel, "tasks of a team began to wait for its cap"}
+	CapWaitEnded             = Event{874, log.InfoLevel, "tasks of a team no longer wait for its cap"}
 	LogsDropped              = Event{864, log.WarnLevel, "log records were dropped"}
 )
 
@@ -164,5 +168,6 @@
 		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
 		MachinesUnavailable, MaintenanceNotSaved, PoolsDivided, ManifestInForce, StoreEntryInvalid, LeaseCallFailed, SettingsReloaded,
 		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, StoreReadInFull, WorkerKept, MachineMovePlanned, MachineMoveOrdered,
+		AllotmentChanged, AllotmentNotSaved, CapWaitBegan, CapWaitEnded,
 	}
 }
