--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -135,7 +135,9 @@
 		}
 		p.demandCheckedAt = tick.Now
 		if p.firstReportRevision == 0 {
-			s.writeDemand(tick.Now, id, work.Demand{Need: minMachines, Have: minMachines}, nil)
+			first := work.Demand{Need: minMachines, Have: minMachines}
+			s.reportTeams(id, &first)
+			s.writeDemand(tick.Now, id, first, nil)
 			continue
 		}
 		have := s.availableWorkers(tick.Now, id)
@@ -147,6 +149,7 @@
 				demand.Released = append(demand.Released, w.ID)
 			}
 		}
+		s.reportTeams(id, &demand)
 		if s.shouldReport(tick.Now, p, &demand, reclaim) {
 			s.writeDemand(tick.Now, id, demand, reclaim)
 		}
@@ -155,7 +158,7 @@
 
 func (s *State) shouldReport(now time.Time, p *Pool, demand *work.Demand, reclaim []table.ID) bool {
 	old := &p.lastDemand
-	if len(reclaim) > 0 || (demand.Need > demand.Have && demand.Need-demand.Have > old.Need-old.Have) {
+	if len(reclaim) > 0 || s.teamsUrgent(p, demand) || (demand.Need > demand.Have && demand.Need-demand.Have > old.Need-old.Have) {
 		return true
 	}
 	if len(demand.Released) > len(old.Released) && !now.Before(p.demandAt.Add(releaseReportInterval)) {
@@ -165,7 +168,7 @@
 		return false
 	}
 	same := old.Have == demand.Have && (old.Need == demand.Need || max(old.Need, demand.Need) <= demand.Have) &&
-		slices.Equal(old.Released, demand.Released)
+		slices.Equal(old.Released, demand.Released) && s.sameTeams(old, demand)
 	return !same || !now.Before(p.demandAt.Add(maxReportInterval))
 }
 
@@ -247,7 +250,7 @@
 		}
 	}
 	s.updateReadyOrder(now, p)
-	waiting := float64(p.ready.millicores) + lateWorkWeight*float64(p.ready.lateMillicores)
+	waiting := max(0, float64(p.ready.millicores)+lateWorkWeight*float64(p.ready.lateMillicores)-float64(s.waitingForCap(p)))
 	if len(have) == 0 {
 		if waiting > 0 {
 			return minMachines
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -142,6 +142,7 @@
 	for i := range candidates {
 		p.startBudget -= candidates[i].w.load.starts
 	}
+	s.beginCaps(p, candidates)
 	largest := largestFree(candidates)
 	exact := placement.Resources{MilliCores: math.MaxInt, MemoryMB: math.MaxInt, Accelerators: math.MaxInt}
 	for i := 0; i < p.ready.stages.Len(); {
@@ -187,6 +188,9 @@
 	j := s.Jobs.Get(stage.Job)
 	waiting := stage.ReadyTasks
 	step := &j.Spec.Steps[stage.Step]
+	if !s.capAllows(tick.Now, poolID, stage) {
+		return false
+	}
 	if j.Spec.Limits.Advice.Needed() && !s.hasUsableTicket(tick, stageID, candidates) {
 		return false
 	}
@@ -202,6 +206,9 @@
 		if t.State != TaskReady || tick.Now.Before(t.NotBefore) || s.mayRunElsewhere(p, j, t) || j.mustSaveCrashes(t) {
 			continue
 		}
+		if !s.capAllows(tick.Now, poolID, stage) {
+			break
+		}
 		best := s.bestCandidate(tick, stage, j, step, t, candidates, "")
 		if best < 0 && endAvoidance(tick.Now, step, t, candidates) {
 			best = s.bestCandidate(tick, stage, j, step, t, candidates, "")
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -107,6 +107,7 @@
 			continue
 		}
 		p.Loaded = true
+		p.caps.inherited = s.Allotment
 		for row := range s.Mirror.Jobs.All() {
 			s.syncJob(tick, row)
 		}
--- a/dispatch/stranded.go
+++ b/dispatch/stranded.go
@@ -68,7 +68,7 @@
 	j := s.Jobs.Get(stage.Job)
 	step := &j.Spec.Steps[stage.Step]
 	t := s.strandedTask(tick.Now, p, stage, j)
-	if t == nil || j.Spec.Limits.Advice.Needed() { // the workers that a policy allows are not known before they are asked
+	if t == nil || s.waitsForCap(p, j.Spec.Team) || j.Spec.Limits.Advice.Needed() { // the workers that a policy allows are not known before they are asked
 		return nil
 	}
 	if step.Gang {
--- a/dispatch/systems.go
+++ b/dispatch/systems.go
@@ -13,6 +13,7 @@
 	{Name: "unblock stages that are due", Run: unblockDueStages},
 	{Name: "evict workers under maintenance", Run: evictWorkers},
 	{Name: "place ready tasks", Run: placeTasks},
+	{Name: "end waits for caps", Run: endCapWaits},
 	{Name: "stop runs", Run: stopRuns},
 	{Name: "adjust speed of best-effort runs", Run: adjustBestEffortSpeed},
 	{Name: "poll workers", Run: pollWorkers},
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -60,8 +60,9 @@
 	arrivals            []arrival
 	longRunningJobs     []table.ID                     // jobs with long-running steps
 	teams               map[string]placement.Resources // by team: what its runs that may exist occupy
-	windowNeed          int                            // highest need in the current window
-	previousNeed        int                            // highest need in the previous window
+	caps                poolCaps
+	windowNeed          int // highest need in the current window
+	previousNeed        int // highest need in the previous window
 	windowStart         time.Time
 	unexplainedCrashAt  time.Time // last crash of a worker that no task explains
 	placementNeeded     bool      // set by any change since the last placement that may allow a start
@@ -384,6 +385,12 @@
 	IsPool func(pool string) bool
 	// Team returns the team with the name in the manifest in force, or nil.
 	Team func(name string) *work.Team
+	// ManifestVersion is that of the manifest in force.
+	ManifestVersion int64
+	// Allotment is the stored division of the teams' caps among the partitions, or nil.
+	Allotment *work.Allotment
+	// PartitionCount is the number of partitions among which caps are divided.
+	PartitionCount int
 	// Partitions assigns the jobs and machines of each pool to partitions.
 	Partitions work.Partitions
 
@@ -394,6 +401,7 @@
 	Tasks       table.Table[Task]
 	Runs        table.Table[Run]
 	Workers     table.Table[Worker]
+	TeamWaits   table.Table[TeamWait]
 
 	Out       Effects
 	NextWrite func() uint64
@@ -404,6 +412,9 @@
 	poolByName        table.Index[string]
 	jobByID           table.Index[string]
 	workerByID        table.Index[string]
+	teamWaitByKey     table.Index[teamKey]
+	allotmentRevision int64
+	hasCaps           bool             // the manifest in force has a team with a cap
 	latestIncarnation map[string]int64 // latest worker incarnation, by machine
 	storedContacts    map[string]ledger.Record
 	pendingWrites     map[uint64]pendingWrite
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -14,6 +14,7 @@
 	"github.com/waxwingbridge/waxwingbridge/machines"
 	"github.com/waxwingbridge/waxwingbridge/ownership"
 	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/quota"
 )
 
 // flush starts a goroutine for each outbound call of the tick and publishes the
@@ -24,6 +25,7 @@
 	s.Ownership.Writes.Drain(p.write(s))
 	s.Dispatch.Out.Writes.Drain(p.write(s))
 	s.Machines.Writes.Drain(p.write(s))
+	s.Quota.Writes.Drain(p.write(s))
 	s.Ownership.LeaseCalls.Drain(func(c ownership.LeaseCall) {
 		p.callAsync(func(ctx context.Context) event { return p.callLease(ctx, c) })
 	})
@@ -43,9 +45,10 @@
 		p.callAsync(func(ctx context.Context) event { return p.orderMachine(ctx, c) })
 	})
 
-	for _, logs := range []interface{ Drain(func(events.Record)) }{&s.Logs, &s.Intake.Logs, &out.Logs, &s.Machines.Logs} {
+	for _, logs := range []interface{ Drain(func(events.Record)) }{&s.Logs, &s.Intake.Logs, &out.Logs, &s.Machines.Logs, &s.Quota.Logs} {
 		logs.Drain(func(r events.Record) { p.limiter.write(tick.Now, r) })
 	}
+	s.Quota.Counters.Drain(func(c quota.CounterIncrement) { p.counters.add(c.Name, c.Delta) })
 	out.Counters.Drain(func(c dispatch.CounterIncrement) { p.counters.add(c.Name, c.Delta) })
 	p.publish(s, tick)
 }
--- a/entry/events.go
+++ b/entry/events.go
@@ -102,7 +102,7 @@
 		s.storeAnswered(tick.Now)
 	}
 	_ = s.Intake.WriteDone(tick, e.result) || s.Dispatch.WriteDone(tick, e.result) ||
-		s.Ownership.WriteDone(tick.Now, e.result) || s.Machines.WriteDone(tick, e.result)
+		s.Ownership.WriteDone(tick.Now, e.result) || s.Machines.WriteDone(tick, e.result) || s.Quota.WriteDone(tick.Now, e.result)
 }
 
 // leaseAnswered carries the answer to a call about the store lease.
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -14,6 +14,7 @@
 	"github.com/waxwingbridge/waxwingbridge/machines"
 	"github.com/waxwingbridge/waxwingbridge/ownership"
 	"github.com/waxwingbridge/waxwingbridge/platform"
+	"github.com/waxwingbridge/waxwingbridge/quota"
 	"github.com/waxwingbridge/waxwingbridge/table"
 	"github.com/waxwingbridge/waxwingbridge/work"
 )
@@ -25,6 +26,7 @@
 	Dispatch  *dispatch.State
 	Intake    *intake.State
 	Machines  machines.State
+	Quota     quota.State
 
 	Manifest *work.Manifest
 	// manifestConfirmedAt is when the last call was sent in which the store stated all
@@ -70,6 +72,7 @@
 		},
 		engine.Lift(func(s *State) *dispatch.State { return s.Dispatch }, dispatch.Systems),
 		engine.Lift(func(s *State) *machines.State { return &s.Machines }, machines.Systems),
+		engine.Lift(func(s *State) *quota.State { return &s.Quota }, quota.Systems),
 		[]engine.System[State]{{Name: "release duties at shutdown", Run: releaseDuties}},
 	)
 }
@@ -86,6 +89,7 @@
 	s.Dispatch.IsPool = nil // until there is a manifest
 	s.Intake = intake.New(&s.Mirror, nextWrite)
 	s.Machines.TakeoverDelay, s.Machines.MaintenanceTime, s.Machines.NextWrite = settings.Bounds.TakeoverDelay, settings.Bounds.MaintenanceTime, nextWrite
+	s.Quota.Duty, s.Quota.NextWrite = machines.FleetDuty, nextWrite
 	s.Machines.CallsPerSecond = settings.MachineCallsPerSecond
 	s.Machines.IsIdle = s.Dispatch.WorkerIdle
 	s.Machines.PoolToken = func(pool string, now time.Time) (int64, bool) {
@@ -136,6 +140,7 @@
 		s.fleetToken, s.fleetSince = token, tick.Now
 	}
 	s.Machines.Ownership = machines.FleetOwnership{Owned: owned && s.stoppingSince.IsZero(), Token: token, Since: s.fleetSince, ValidUntil: s.Ownership.LeaseValidUntil}
+	s.Quota.Ownership = quota.Ownership(s.Machines.Ownership)
 }
 
 // claimedDuties reports whether this process has become the owner of a duty since
@@ -248,6 +253,10 @@
 		s.Machines.ApplyOrder(tick.Now, record)
 	case ledger.KindDemand:
 		s.Machines.ApplyDemand(tick.Now, record)
+		s.Quota.ApplyReport(tick.Now, record)
+	case ledger.KindAllotment:
+		s.Dispatch.ApplyAllotment(record)
+		s.Quota.ApplyAllotment(record)
 	case ledger.KindPartitions:
 		if partitions, ok := record.Content.(*work.Partitions); ok {
 			s.Dispatch.Partitions, s.Machines.Partitions = *partitions, *partitions
@@ -266,7 +275,8 @@
 	}
 	s.Manifest = m
 	s.Dispatch.IsPool = func(pool string) bool { return m.Pool(pool) != nil }
-	s.Dispatch.Team = m.Team
+	s.Dispatch.SetTeams(m)
+	s.Quota.SetManifest(m)
 	s.updateRequiredDuties(tick)
 	s.Logs.Add(events.Record{Event: events.ManifestInForce, Fields: []events.Field{
 		events.F("version", m.Version), events.F("revision", revision), events.F("queues", len(m.Queues)), events.F("pools", len(m.Pools)),
@@ -283,12 +293,17 @@
 	}
 	duties := []string{machines.FleetDuty}
 	s.partitionDuties = nil
+	var active []string
 	for i := range s.Manifest.Pools {
 		partitions := s.Machines.Partitions.PartitionsOf(s.Manifest.Pools[i].Name)
 		s.partitionDuties = append(s.partitionDuties, partitions...)
 		if !s.Manifest.Pools[i].Standby && s.Machines.Partitions != nil {
 			duties = append(duties, partitions...)
+			active = append(active, partitions...)
 		}
 	}
+	slices.Sort(active)
+	s.Dispatch.PartitionCount = len(active)
+	s.Quota.SetPartitions(active)
 	s.Ownership.SetRequired(tick.Now, duties)
 }
