--- a/dispatch/caps.go
+++ b/dispatch/caps.go
@@ -34,6 +34,8 @@
 	SeenAt time.Time // last placement that the cap prevented
 	// Size is that of the tasks that the free workers have room for.
 	Size placement.Resources
+	// Next is what the first of them needs to start.
+	Next placement.Resources
 	// MilliCores are those of all waiting tasks.
 	MilliCores int
 }
@@ -249,7 +251,9 @@
 	if step.Gang && !(teamLimit{cap: limit.cap, amount: limit.cap}).fits(next, false) {
 		return false // it never fits: lending room for it would only keep others waiting
 	}
-	s.noteCapWait(now, poolID, p, j.Spec.Team, limit, times(step.Size, stage.ReadyTasks), stage.ReadyTasks*step.Reserved().MilliCores)
+	w := s.capWait(now, poolID, p, j.Spec.Team, limit, next)
+	w.Size = smallestOf(w.Size.Add(times(step.Size, stage.ReadyTasks)), p.caps.free)
+	w.MilliCores += stage.ReadyTasks * step.Reserved().MilliCores
 	return false
 }
 
@@ -257,8 +261,9 @@
 	return placement.Resources{MilliCores: size.MilliCores * n, MemoryMB: size.MemoryMB * n, Accelerators: size.Accelerators * n}
 }
 
-// noteCapWait records that tasks of a team wait for its cap.
-func (s *State) noteCapWait(now time.Time, poolID table.ID, p *Pool, team string, limit teamLimit, size placement.Resources, millicores int) {
+// capWait returns the row of a team whose tasks wait for its cap. next is what the present
+// one needs, which is the first of them if the row was not seen in this placement yet.
+func (s *State) capWait(now time.Time, poolID table.ID, p *Pool, team string, limit teamLimit, next placement.Resources) *TeamWait {
 	key := teamKey{pool: poolID, team: team}
 	id, known := s.teamWaitByKey.Get(key)
 	if !known {
@@ -270,16 +275,26 @@
 		}
 		s.count("cap_waits")
 		s.log(events.CapWaitBegan, events.F("team", team), events.F("pool", p.Name), events.F("used", limit.use.MilliCores),
-			events.F("lent", limit.amount.MilliCores), events.F("cap", limit.cap.MilliCores), events.F("waiting", size.MilliCores),
+			events.F("lent", limit.amount.MilliCores), events.F("cap", limit.cap.MilliCores), events.F("next", next.MilliCores),
 			events.F("memory_mb_used", limit.use.MemoryMB), events.F("memory_mb_lent", limit.amount.MemoryMB), events.F("obeyed", revision),
 			events.F("unanswered_millicores", p.caps.unanswered.MilliCores), events.F("manifest", s.ManifestVersion))
 	}
 	w := s.TeamWaits.Get(id)
 	if !w.SeenAt.Equal(now) { // a new placement
-		w.SeenAt, w.Size, w.MilliCores = now, placement.Resources{}, 0
+		w.SeenAt, w.Size, w.Next, w.MilliCores = now, placement.Resources{}, smallestOf(next, limit.capOrUnlimited()), 0
 	}
-	w.Size = smallestOf(w.Size.Add(size), p.caps.free)
-	w.MilliCores += millicores
+	return w
+}
+
+// capOrUnlimited returns the cap with a very large amount of each resource without a limit.
+func (l teamLimit) capOrUnlimited() placement.Resources {
+	orUnlimited := func(n int) int {
+		if n == 0 {
+			return unlimited
+		}
+		return n
+	}
+	return placement.Resources{MilliCores: orUnlimited(l.cap.MilliCores), MemoryMB: orUnlimited(l.cap.MemoryMB), Accelerators: orUnlimited(l.cap.Accelerators)}
 }
 
 // endCapWaits ends the waits of teams whose tasks have not met the cap lately.
@@ -343,7 +358,7 @@
 			demand.Teams = append(demand.Teams, work.TeamDemand{Team: w.Team, Use: s.teamUseBound(p, team, unanswered)})
 		}
 		if i >= 0 {
-			demand.Teams[i].Waiting = w.Size
+			demand.Teams[i].Waiting, demand.Teams[i].Next = w.Size, w.Next
 		}
 	}
 	slices.SortFunc(demand.Teams, func(a, b work.TeamDemand) int { return cmp.Compare(a.Team, b.Team) })
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -67,7 +67,8 @@
 	// holdWrites keeps writes of records of this kind in flight until releaseWrites.
 	holdWrites  ledger.Kind
 	heldWrites  []ledger.Write
-	ignoreStops bool // stops get no answer
+	ignoreStops bool              // stops get no answer
+	progress    func(fakeRun) int // of a run, in percent; nil for runs that serve
 	// countsVisits leaves out checkIndexes, which visits whole tables.
 	countsVisits bool
 }
@@ -263,7 +264,11 @@
 	f.ended = slices.DeleteFunc(f.ended, func(e work.RunEnd) bool { return e.Number <= o.Acknowledged })
 	var running []work.RunStatus
 	for _, r := range f.running {
-		running = append(running, work.RunStatus{Task: r.task, Run: r.run, Percent: servingPercent})
+		percent := servingPercent
+		if w.progress != nil {
+			percent = w.progress(r)
+		}
+		running = append(running, work.RunStatus{Task: r.task, Run: r.run, Percent: percent})
 	}
 	w.s.Polled(tick, o.Target, PollAnswered, f.reading(w.now), running, slices.Clone(f.ended))
 }
--- a/entry/allotment.go
+++ b/entry/allotment.go
@@ -27,6 +27,7 @@
 		Team    string       `json:"T"`
 		Use     storedAmount `json:"U,omitzero"`
 		Waiting storedAmount `json:"W,omitzero"`
+		Next    storedAmount `json:"N,omitzero"`
 	}
 	storedAllotment struct {
 		Revision   int64
@@ -61,7 +62,7 @@
 func storeDemand(d *work.Demand) storedDemand {
 	stored := storedDemand{Need: d.Need, Have: d.Have, Released: d.Released, Obeyed: d.Obeyed, Incomplete: d.Incomplete}
 	for _, t := range d.Teams {
-		stored.Teams = append(stored.Teams, storedTeamDemand{Team: t.Team, Use: storeAmount(t.Use), Waiting: storeAmount(t.Waiting)})
+		stored.Teams = append(stored.Teams, storedTeamDemand{Team: t.Team, Use: storeAmount(t.Use), Waiting: storeAmount(t.Waiting), Next: storeAmount(t.Next)})
 	}
 	return stored
 }
@@ -73,10 +74,10 @@
 	}
 	demand := &work.Demand{Need: stored.Need, Have: stored.Have, Released: stored.Released, Obeyed: stored.Obeyed, Incomplete: stored.Incomplete}
 	for _, t := range stored.Teams {
-		if !t.Use.isValid() || !t.Waiting.isValid() {
+		if !t.Use.isValid() || !t.Waiting.isValid() || !t.Next.isValid() {
 			return nil, errors.Newf("team %q: an amount is negative", t.Team)
 		}
-		demand.Teams = append(demand.Teams, work.TeamDemand{Team: t.Team, Use: t.Use.resources(), Waiting: t.Waiting.resources()})
+		demand.Teams = append(demand.Teams, work.TeamDemand{Team: t.Team, Use: t.Use.resources(), Waiting: t.Waiting.resources(), Next: t.Next.resources()})
 	}
 	return demand, nil
 }
--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -39,7 +39,7 @@
 		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "p"}, Content: &work.Demand{Need: 3, Have: 2, Released: []string{"w"}}},
 		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "q"}, Content: &work.Demand{Need: 3, Have: 2, Obeyed: 7, Incomplete: true, Teams: []work.TeamDemand{
 			{Team: "a", Use: placement.Resources{MilliCores: 500, MemoryMB: 64}},
-			{Team: "b", Waiting: placement.Resources{MilliCores: 1, Accelerators: 2}},
+			{Team: "b", Waiting: placement.Resources{MilliCores: 1, Accelerators: 2}, Next: placement.Resources{MilliCores: 1, Accelerators: 1}},
 		}}},
 		{Key: ledger.Key{Kind: ledger.KindAllotment, Name: "teams"}, Content: &work.Allotment{
 			Revision: 7, Manifest: 3, Partitions: []string{"p", "q#0"}, Teams: []work.TeamAllotment{{
--- a/quota/sheet.go
+++ b/quota/sheet.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/work"
@@ -16,6 +17,7 @@
 	parts    []work.AllottedPart
 	use      []placement.Resources
 	waiting  []placement.Resources
+	next     []placement.Resources // what the first waiting task needs
 	revision int64
 }
 
@@ -30,7 +32,7 @@
 	n := len(d.next.Partitions)
 	t := &teamSheet{
 		d: d, name: name, limit: limit, start: work.StartingAmount(limit, d.active), revision: d.next.Revision,
-		parts: make([]work.AllottedPart, n), use: make([]placement.Resources, n), waiting: make([]placement.Resources, n),
+		parts: make([]work.AllottedPart, n), use: make([]placement.Resources, n), waiting: make([]placement.Resources, n), next: make([]placement.Resources, n),
 	}
 	for i, r := range d.reports {
 		if r == nil {
@@ -39,7 +41,7 @@
 		demand := r.Teams[name]
 		t.use[i] = demand.Use
 		if d.now.Sub(r.ReceivedAt) < waitingValidity && !d.gone[i] {
-			t.waiting[i] = demand.Waiting
+			t.waiting[i], t.next[i] = demand.Waiting, demand.Next
 		}
 	}
 	if old != nil {
@@ -146,20 +148,30 @@
 		unused += max(0, c.amount(i)-c.use(i))
 	}
 	free := max(0, c.cap-used)
-	if unused <= free {
-		return false
-	}
+	changed := unused > free
 	for i := range c.t.parts {
-		if spare := c.amount(i) - c.use(i); spare > 0 {
+		if spare := c.amount(i) - c.use(i); changed && spare > 0 {
 			c.lower(i, c.use(i)+int(int64(spare)*int64(free)/int64(unused)))
 		}
 	}
-	return true
+	amounts := make([]int, len(c.t.parts))
+	for i := range amounts {
+		amounts[i] = c.amount(i)
+	}
+	level := evenLevel(amounts, c.cap)
+	for i := range c.t.parts { // what ends beyond the cap is not started again
+		if c.amount(i) > level {
+			c.lower(i, level)
+			changed = true
+		}
+	}
+	return changed
 }
 
 // claims returns the amount that each partition should have, and whether the starting
 // amounts of all partitions are in it. They are if the cap has room for them beside what is
-// used and waited for; otherwise the cap is shared evenly among those that want some.
+// used and waited for; otherwise the cap is shared evenly among those that want some, in
+// amounts with which a task can start.
 func (c *column) claims() (claims []int, starts bool) {
 	claims = make([]int, len(c.t.parts))
 	sum, start := 0, *c.of(&c.t.start)
@@ -178,12 +190,37 @@
 		wanted[i] = claims[i]
 	}
 	level := evenLevel(wanted, c.cap)
+	left := c.cap
+	var unserved []int
 	for i := range claims {
+		if least := c.least(i); claims[i] > level && level < least {
+			claims[i] = min(c.use(i), level) // the even share would lie idle
+			unserved = append(unserved, i)
+		}
 		claims[i] = min(claims[i], level)
+		left -= claims[i]
+	}
+	if len(unserved) == 0 {
+		return claims, false
+	}
+	first := int(c.t.d.now.UnixNano() / int64(turnInterval) % int64(len(unserved)))
+	for n := range unserved {
+		i := unserved[(first+n)%len(unserved)]
+		if more := c.least(i) - claims[i]; c.use(i) <= level && more <= left {
+			claims[i] += more
+			left -= more
+		}
 	}
 	return claims, false
 }
 
+// turnInterval is how long a partition comes first among those whose even share is too small
+// for a task. It covers the time until the owners obey and start the task.
+const turnInterval = time.Second
+
+// least is the amount with which a partition can start its next task.
+func (c *column) least(i int) int { return min(c.want(i), c.use(i)+*c.of(&c.t.next[i])) }
+
 // evenLevel returns the highest level at which amounts cut to it fit into the total.
 func evenLevel(amounts []int, total int) int {
 	slices.Sort(amounts)
@@ -214,9 +251,9 @@
 		}
 	}
 	changed, missing := false, 0
-	slices.SortFunc(lacking, func(a, b int) int { return byLargest(func(i int) int { return c.amount(i) - claims[i] })(a, b) })
-	for n, i := range lacking { // the one that lacks least first
-		target := min(claims[i], max(c.amount(i), c.held(i))+max(0, room)/(len(lacking)-n))
+	slices.SortFunc(lacking, byLargest(func(i int) int { return c.amount(i) - claims[i] }))
+	for _, i := range lacking { // the one that lacks least first: parts of a task would lie idle
+		target := min(claims[i], max(c.amount(i), c.held(i))+max(0, room))
 		if target > c.amount(i) {
 			room -= max(0, target-c.held(i))
 			c.raise(i, target)
--- a/work/allotment.go
+++ b/work/allotment.go
@@ -89,4 +89,6 @@
 	Use  placement.Resources // of all runs that may exist
 	// Waiting is the size of the tasks that only the cap keeps from starting.
 	Waiting placement.Resources
+	// Next is what the first of them needs: one task, or all members of a gang.
+	Next placement.Resources
 }
