--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -77,6 +77,7 @@
 func (p *Pool) recordArrival(now time.Time, j *Job) {
 	if now.Sub(p.OwnedSince) > arrivalWindow { // the jobs that a new owner sees first were accepted earlier
 		p.arrivals = append(p.arrivals, arrival{at: now, work: j.Work})
+		p.recordForecastArrival(now, j.Work)
 	}
 }
 
@@ -139,8 +140,9 @@
 			continue
 		}
 		have := s.availableWorkers(tick.Now, id)
-		demand := work.Demand{Need: s.machineNeed(tick.Now, p, have), Have: len(have)}
-		reclaim := s.adjustSurplus(tick.Now, p, have, demand.Need+spareMachines)
+		s.updateForecast(tick.Now, p)
+		demand := work.Demand{Need: s.machineNeed(tick.Now, p, have), Have: len(have), Expected: s.expectedMachines(tick.Now, p, have)}
+		reclaim := s.adjustSurplus(tick.Now, p, have, max(demand.Need+spareMachines, demand.Expected))
 		reclaim = s.keepForWaitingStages(tick, p, have, reclaim)
 		for _, workerID := range have {
 			if w := s.Workers.Get(workerID); w.surplus && w.holdsNothing() && w.Machine != "" && !slices.Contains(reclaim, workerID) {
@@ -155,7 +157,8 @@
 
 func (s *State) shouldReport(now time.Time, p *Pool, demand *work.Demand, reclaim []table.ID) bool {
 	old := &p.lastDemand
-	if len(reclaim) > 0 || (demand.Need > demand.Have && demand.Need-demand.Have > old.Need-old.Have) {
+	if len(reclaim) > 0 || (demand.Need > demand.Have && demand.Need-demand.Have > old.Need-old.Have) ||
+		(demand.Expected > demand.Have && demand.Expected-demand.Have > old.Expected-old.Have) {
 		return true
 	}
 	if len(demand.Released) > len(old.Released) && !now.Before(p.demandAt.Add(releaseReportInterval)) {
@@ -165,6 +168,7 @@
 		return false
 	}
 	same := old.Have == demand.Have && (old.Need == demand.Need || max(old.Need, demand.Need) <= demand.Have) &&
+		(old.Expected == demand.Expected || max(old.Expected, demand.Expected) <= demand.Have) &&
 		slices.Equal(old.Released, demand.Released)
 	return !same || !now.Before(p.demandAt.Add(maxReportInterval))
 }
@@ -191,7 +195,7 @@
 		}
 	}
 	s.Out.Writes.Add(write)
-	s.log(events.DemandReported, events.F("pool", p.Name), events.F("need", demand.Need), events.F("have", demand.Have),
+	s.log(events.DemandReported, events.F("pool", p.Name), events.F("need", demand.Need), events.F("expected", demand.Expected), events.F("have", demand.Have),
 		events.F("released", len(demand.Released)), events.F("reclaimed", len(reclaim)), events.F("waiting_stages", p.ready.stages.Len()),
 		events.F("inflow_cores", int(p.workArrivalRate(now))))
 }
@@ -256,10 +260,10 @@
 	}
 	// A machine arrives 1.5 s after its order. Until then about as much work arrives
 	// as the pool must be able to run at a time, beside what waits already.
-	wanted := max(float64(busy), p.expectedArrivalRate(now)*1000) + waiting
+	wanted := max(float64(busy), p.arrivalRateToServe(now, float64(busy)/1000)*1000) + waiting
 	perMachine := float64(capacity) / float64(len(have)) * usableShare
 	machines := int(math.Ceil(min(wanted/max(1, perMachine), maxNeed)))
-	return s.smoothNeed(now, p, max(machines, longRunning+spareMachines, s.longRunningWorkers(p)+spareMachines, minMachines))
+	return p.smoothNeed(now, max(machines, longRunning+spareMachines, s.longRunningWorkers(p)+spareMachines, minMachines))
 }
 
 // longRunningWorkers returns how many workers the long-running steps of a pool
@@ -280,7 +284,7 @@
 
 // smoothNeed returns the highest need in the current and the previous window, so
 // that a short dip between two jobs does not release machines.
-func (s *State) smoothNeed(now time.Time, p *Pool, need int) int {
+func (p *Pool) smoothNeed(now time.Time, need int) int {
 	if now.Sub(p.windowStart) > needWindow {
 		p.previousNeed, p.windowNeed, p.windowStart = p.windowNeed, need, now
 	}
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/forecast"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -58,6 +59,7 @@
 	firstReportRevision int64 // store revision of this owner's first report; 0 before it
 	startBudget         int   // starts that the current placement pass may still order
 	arrivals            []arrival
+	forecast            forecast.Learner               // of the work that arrives
 	longRunningJobs     []table.ID                     // jobs with long-running steps
 	teams               map[string]placement.Resources // by team: what its runs that may exist occupy
 	windowNeed          int                            // highest need in the current window
--- a/machines/machines_test.go
+++ b/machines/machines_test.go
@@ -237,6 +237,34 @@
 	}
 }
 
+// Guards against machines that go to a pool whose forecast calls for many while another
+// pool needs them now, and against a forecast that gets none of those that are left.
+func TestForecastNeedComesAfterPresentNeeds(t *testing.T) {
+	h := newHarness(t, map[string]int{"a": 2, "b": 2, "standby": 3})
+	h.reportDemand("a", work.Demand{Need: 2, Have: 2, Expected: 20})
+	h.reportDemand("b", work.Demand{Need: 4, Have: 2})
+	h.run(5 * time.Second)
+	moved := map[string]int{}
+	for _, name := range []string{"standby-0", "standby-1", "standby-2"} {
+		moved[h.machines[name].Pool]++
+	}
+	if moved["b"] != 2 || moved["a"] != 1 {
+		t.Errorf("of three machines %d went to the pool that needs 2 now and %d to the one with a forecast", moved["b"], moved["a"])
+	}
+}
+
+// Guards against machines that are taken from a pool which has as many as it needs, because
+// the forecast of another pool calls for them.
+func TestForecastTakesNoMachineFromAnotherPool(t *testing.T) {
+	h := newHarness(t, map[string]int{"a": 2, "b": 3})
+	h.reportDemand("a", work.Demand{Need: 2, Have: 2, Expected: 20})
+	h.reportDemand("b", work.Demand{Need: 3, Have: 3})
+	h.run(5 * time.Second)
+	if len(h.calls) != 0 {
+		t.Errorf("%d machines were moved, want none", len(h.calls))
+	}
+}
+
 // Guards against released machines that stay switched on.
 func TestReleasedMachinesMoveToStandby(t *testing.T) {
 	h := newHarness(t, map[string]int{"a": 2})
--- a/machines/moves.go
+++ b/machines/moves.go
@@ -70,8 +70,20 @@
 
 // shortage returns how many machines a partition lacks, given the moves that are
 // not finished.
-func (s *State) shortage(d *Demand) int {
-	short := d.Need - d.Have
+func (s *State) shortage(d *Demand) int { return s.lackOf(d, d.Need) }
+
+// expectedShortage returns how many machines a partition lacks for its need and for the
+// forecast of its next turn.
+func (s *State) expectedShortage(d *Demand) int { return s.lackOf(d, max(d.Need, d.Expected)) }
+
+// forecastShortage returns how many machines a partition lacks beyond its need.
+func (s *State) forecastShortage(d *Demand) int {
+	return s.expectedShortage(d) - max(0, s.shortage(d))
+}
+
+// lackOf returns how many machines a partition lacks to have the given number.
+func (s *State) lackOf(d *Demand, wanted int) int {
+	short := wanted - d.Have
 	for _, o := range s.Orders.All() {
 		if o.Target == d.Pool && o.State != work.MachineDone && s.Partitions.PartitionOf(o.Target, o.Machine) == d.Duty {
 			short--
@@ -95,7 +107,7 @@
 // needsListForMoves reports whether moves need a current machine list.
 func (s *State) needsListForMoves(now time.Time) bool {
 	for _, d := range s.Demands.All() {
-		if now.Sub(d.ReceivedAt) < demandValidity && (s.shortage(d) > 0 || s.hasSurplus(now, d)) {
+		if now.Sub(d.ReceivedAt) < demandValidity && (s.expectedShortage(d) > 0 || s.hasSurplus(now, d)) {
 			return true
 		}
 	}
@@ -130,13 +142,16 @@
 		return
 	}
 	s.nextPlan = tick.Now.Add(planInterval)
-	var short, all []*Demand
+	var short, expecting, all []*Demand
 	for _, d := range s.Demands.All() {
 		if tick.Now.Sub(d.ReceivedAt) < demandValidity {
 			all = append(all, d)
 			if s.shortage(d) > 0 {
 				short = append(short, d)
 			}
+			if s.expectedShortage(d) > 0 {
+				expecting = append(expecting, d)
+			}
 		}
 	}
 	var available []availableMachine
@@ -152,8 +167,10 @@
 		moves = append(moves, work.MachineOrder{Machine: m.Name, Worker: m.Worker, Pool: m.Pool, Target: target, State: work.MachineIdle})
 		demandByMachine[m.Name] = m.demand
 	}
-	for _, d := range s.allotmentOrder(short) {
-		fits := func(m availableMachine) bool { return s.Partitions.PartitionOf(d.Pool, m.Name) == d.Duty }
+	for _, d := range append(s.allotmentOrder(short, s.shortage), s.allotmentOrder(expecting, s.forecastShortage)...) {
+		fits := func(m availableMachine) bool {
+			return m.demand != d && s.Partitions.PartitionOf(d.Pool, m.Name) == d.Duty
+		}
 		if i := slices.IndexFunc(available, fits); i >= 0 {
 			assign(available[i], d.Pool)
 			available = slices.Delete(available, i, i+1)
@@ -171,11 +188,11 @@
 
 // allotmentOrder lists the pools that lack machines, once for each missing machine.
 // The pool with the largest remaining shortage comes next.
-func (s *State) allotmentOrder(short []*Demand) []*Demand {
+func (s *State) allotmentOrder(short []*Demand, shortage func(*Demand) int) []*Demand {
 	lack := make(map[*Demand]int, len(short))
 	total := 0
 	for _, d := range short {
-		lack[d] = s.shortage(d)
+		lack[d] = shortage(d)
 		total += lack[d]
 	}
 	allotments := make([]*Demand, 0, total)
--- a/work/records.go
+++ b/work/records.go
@@ -91,6 +91,9 @@
 type Demand struct {
 	Need int // machines that the pool can currently use
 	Have int // machines in the pool that are neither draining nor subject to an order
+	// Expected is how many machines the forecast of the next turn calls for, or 0. Machines
+	// beyond Need come after the needs of all pools.
+	Expected int `json:",omitempty"`
 	// Released lists workers that the owner gives up. Nothing runs on them, and
 	// the owner starts nothing there until a later report without them is
 	// stored.
