--- a/command/entry.go
+++ b/command/entry.go
@@ -17,6 +17,7 @@
 // platform's settings file instead.
 type entryFlags struct {
 	LogLevel string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+	Forecast bool   `help:"Learn the turns of each pool's demand, and order machines ahead of them." env:"WAXWING_FORECAST"`
 }
 
 // Entry runs waxwing-entry and returns its exit status. It logs to stdout, from
@@ -38,7 +39,7 @@
 	logger := events.New(lines, log.ParseLevel(flags.LogLevel), settings.Node, id)
 	return runApp(program, entry.MaxStopTime, stderr,
 		fx.Provide(func() *entry.Process {
-			p := entry.New(settings, logger, id)
+			p := entry.New(settings, entry.Features{Forecast: flags.Forecast}, logger, id)
 			p.DroppedLines, p.Reload = lines.Dropped, reload
 			return p
 		}),
--- a/command/site.go
+++ b/command/site.go
@@ -68,7 +68,7 @@
 			return err
 		}
 		id := node.NewIncarnation()
-		p := entry.New(settings, events.New(logger, log.ParseLevel(s.flags.LogLevel), settings.Node, id), id)
+		p := entry.New(settings, entry.Features{}, events.New(logger, log.ParseLevel(s.flags.LogLevel), settings.Node, id), id)
 		if err := p.Start(); err != nil {
 			return err
 		}
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/forecast"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -58,6 +59,7 @@
 	firstReportRevision int64 // store revision of this owner's first report; 0 before it
 	startBudget         int   // starts that the current placement pass may still order
 	arrivals            []arrival
+	forecast            forecast.Learner               // of the work that arrives
 	longRunningJobs     []table.ID                     // jobs with long-running steps
 	teams               map[string]placement.Resources // by team: what its runs that may exist occupy
 	caps                poolCaps
@@ -375,6 +377,8 @@
 	OwnerLease time.Duration // longest time for which a replaced owner may still send orders
 	Retention  time.Duration // how long finished jobs stay visible
 	StopTime   time.Duration // how long a worker takes to stop a run
+	// Forecast has the pools learn the turns of their demand and order machines ahead.
+	Forecast bool
 }
 
 // State holds the tables of the pools that this process owns.
--- a/entry/allotment.go
+++ b/entry/allotment.go
@@ -18,6 +18,7 @@
 	storedAmount [3]int // millicores, megabytes, accelerators
 	storedDemand struct {
 		Need, Have int
+		Expected   int `json:",omitempty"`
 		Released   []string
 		Teams      []storedTeamDemand `json:",omitempty"`
 		Obeyed     int64              `json:",omitempty"`
@@ -60,7 +61,7 @@
 func (a storedAmount) isValid() bool { return a[0] >= 0 && a[1] >= 0 && a[2] >= 0 }
 
 func storeDemand(d *work.Demand) storedDemand {
-	stored := storedDemand{Need: d.Need, Have: d.Have, Released: d.Released, Obeyed: d.Obeyed, Incomplete: d.Incomplete}
+	stored := storedDemand{Need: d.Need, Have: d.Have, Expected: d.Expected, Released: d.Released, Obeyed: d.Obeyed, Incomplete: d.Incomplete}
 	for _, t := range d.Teams {
 		stored.Teams = append(stored.Teams, storedTeamDemand{Team: t.Team, Use: storeAmount(t.Use), Waiting: storeAmount(t.Waiting), Next: storeAmount(t.Next)})
 	}
@@ -72,7 +73,7 @@
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return nil, err
 	}
-	demand := &work.Demand{Need: stored.Need, Have: stored.Have, Released: stored.Released, Obeyed: stored.Obeyed, Incomplete: stored.Incomplete}
+	demand := &work.Demand{Need: stored.Need, Have: stored.Have, Expected: stored.Expected, Released: stored.Released, Obeyed: stored.Obeyed, Incomplete: stored.Incomplete}
 	for _, t := range stored.Teams {
 		if !t.Use.isValid() || !t.Waiting.isValid() || !t.Next.isValid() {
 			return nil, errors.Newf("team %q: an amount is negative", t.Team)
--- a/entry/process.go
+++ b/entry/process.go
@@ -122,8 +122,14 @@
 	return clockEpoch.Add(time.Duration(ts.Nano()))
 }
 
+// Features are parts of the process that its settings switch on.
+type Features struct {
+	// Forecast learns the turns of each pool's demand and orders machines ahead of them.
+	Forecast bool
+}
+
 // New returns a process that has not been started.
-func New(settings *platform.Settings, log *events.Logger, incarnation string) *Process {
+func New(settings *platform.Settings, features Features, log *events.Logger, incarnation string) *Process {
 	p := &Process{
 		settings: settings, log: log, limiter: newLogLimiter(log), metrics: metrics.New("entry"),
 		store: platform.NewStoreClient(settings.StoreAddress), workers: platform.NewWorkerClient(),
@@ -143,7 +149,7 @@
 			return s.lastTick.Add(nonOwnerTickInterval)
 		},
 	}
-	p.loop = engine.NewLoop(program, newState(settings, incarnation, time.Now), inboxSize)
+	p.loop = engine.NewLoop(program, newState(settings, features, incarnation, time.Now), inboxSize)
 	p.loop.SetClock(now)
 	return p
 }
--- a/entry/process_test.go
+++ b/entry/process_test.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	p := New(settings, testLog(s.t, name), "incarnation-"+name)
+	p := New(settings, Features{}, testLog(s.t, name), "incarnation-"+name)
 	if err := p.Start(); err != nil {
 		s.t.Fatal(err)
 	}
--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -37,7 +37,7 @@
 		{Key: ledger.Key{Kind: ledger.KindMachineOrder, Name: "m"}, Content: &work.MachineOrder{Machine: "m", Worker: "w", Pool: "p", Wave: 1, State: work.MachineIdle}},
 		{Key: ledger.Key{Kind: ledger.KindMachineMove, Name: "m"}, Content: &work.MachineOrder{Machine: "m", Target: "t"}},
 		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "p"}, Content: &work.Demand{Need: 3, Have: 2, Released: []string{"w"}}},
-		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "q"}, Content: &work.Demand{Need: 3, Have: 2, Obeyed: 7, Incomplete: true, Teams: []work.TeamDemand{
+		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "q"}, Content: &work.Demand{Need: 3, Have: 2, Expected: 4, Obeyed: 7, Incomplete: true, Teams: []work.TeamDemand{
 			{Team: "a", Use: placement.Resources{MilliCores: 500, MemoryMB: 64}},
 			{Team: "b", Waiting: placement.Resources{MilliCores: 1, Accelerators: 2}, Next: placement.Resources{MilliCores: 1, Accelerators: 1}},
 		}}},
@@ -101,7 +101,7 @@
 // Guards against a new owner that acts on a registry and on wave statuses from before its
 // ownership, since they are watched apart from the records.
 func TestOwnerWaitsForTheRegistry(t *testing.T) {
-	s := newState(&platform.Settings{Node: "n", Bounds: platform.DefaultBounds()}, "i", time.Now)
+	s := newState(&platform.Settings{Node: "n", Bounds: platform.DefaultBounds()}, Features{}, "i", time.Now)
 	s.Manifest = &work.Manifest{Version: 1, Pools: []work.Pool{{Name: "p"}}}
 	tick := engine.Tick{Now: time.Unix(1000, 0)}
 	partitions := work.Partitions{}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -77,14 +77,14 @@
 	)
 }
 
-func newState(settings *platform.Settings, incarnation string, timeOfDay func() time.Time) *State {
+func newState(settings *platform.Settings, features Features, incarnation string, timeOfDay func() time.Time) *State {
 	s := &State{}
 	nextWrite := func() uint64 { s.lastWrite++; return s.lastWrite }
 	s.Ownership.Node, s.Ownership.Incarnation, s.Ownership.NextWrite = settings.Node, incarnation, nextWrite
 	s.Ownership.Millicores = settings.Millicores
 	s.Dispatch = dispatch.New(dispatch.Config{
 		MaxLease: min(settings.Bounds.MaxLease, runLease), OwnerLease: ownership.LeaseTTL, Retention: settings.Bounds.StatusRetention,
-		StopTime: settings.Bounds.StopTime,
+		StopTime: settings.Bounds.StopTime, Forecast: features.Forecast,
 	}, &s.Mirror, nextWrite, timeOfDay)
 	s.Dispatch.IsPool = nil // until there is a manifest
 	s.Intake = intake.New(&s.Mirror, nextWrite)
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -144,6 +144,8 @@
 	AllotmentNotSaved        = Event{872, log.WarnLevel, "allotment of the teams' caps could not be saved"}
 	CapWaitBegan             = Event{873, log.InfoLevel, "tasks of a team began to wait for its cap"}
 	CapWaitEnded             = Event{874, log.InfoLevel, "tasks of a team no longer wait for its cap"}
+	ForecastLearnt           = Event{875, log.InfoLevel, "period of a pool's demand was learnt"}
+	ForecastLost             = Event{876, log.InfoLevel, "period of a pool's demand is no longer believed"}
 	LogsDropped              = Event{864, log.WarnLevel, "log records were dropped"}
 )
 
@@ -169,5 +171,6 @@
 		MachinesUnavailable, MaintenanceNotSaved, PoolsDivided, ManifestInForce, StoreEntryInvalid, LeaseCallFailed, SettingsReloaded,
 		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, StoreReadInFull, WorkerKept, MachineMovePlanned, MachineMoveOrdered,
 		AllotmentChanged, AllotmentNotSaved, CapWaitBegan, CapWaitEnded,
+		ForecastLearnt, ForecastLost,
 	}
 }
