--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,14 +1,19 @@
 // Package admission decides whether a submission is accepted for a write to the store
 // or rejected at once, and when a rejected caller should return.
 //
-// A decision depends only on what this process has seen of the store: results of its
-// calls, and how long the writes in flight have waited. The package does no I/O.
+// A decision depends only on what this process has seen: results of its calls to the
+// store, how long its writes in flight have waited, and, where the manifest has teams, the
+// mirrored job records, the reports of the pools' owners and the registry of workers. The
+// package does no I/O.
 package admission
 
 import (
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingbridge/waxwingbridge/ledger"
+	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
 const (
@@ -33,17 +38,28 @@
 
 // The reasons of a rejection.
 const (
-	None          Reason = iota // accepted
-	StoreRefuses                // the store has refused or failed the last calls
-	StoreSilent                 // the store does not answer the writes in flight
-	TooManyHeld                 // the process holds the largest number of requests
-	DeadlineClose               // the caller's deadline leaves no time for a write
-	MirrorOld                   // the process has not read the store's changes for too long
+	None           Reason = iota // accepted
+	StoreRefuses                 // the store has refused or failed the last calls
+	StoreSilent                  // the store does not answer the writes in flight
+	TooManyHeld                  // the process holds the largest number of requests
+	DeadlineClose                // the caller's deadline leaves no time for a write
+	MirrorOld                    // the process has not read the store's changes for too long
+	TeamAtCap                    // the team sends more than its weight, and its work fills its cap
+	TeamOverShare                // the team sends more than its weight, and the pool is full
+	PoolOverloaded               // the pool can't serve the job before it is worth nothing
 )
 
+// IsTeams reports whether the reason is the team's own use. Another process would decide
+// alike.
+func (r Reason) IsTeams() bool { return r == TeamAtCap || r == TeamOverShare }
+
+// IsLoads reports whether the submission was rejected for the load, not for the state of
+// the store.
+func (r Reason) IsLoads() bool { return r >= TeamAtCap }
+
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
-	names := [...]string{"none", "store-refuses", "store-silent", "too-many-held", "deadline", "mirror-old"}
+	names := [...]string{"none", "store-refuses", "store-silent", "too-many-held", "deadline", "mirror-old", "team-at-cap", "team-over-share", "pool-overloaded"}
 	if int(r) >= len(names) {
 		return "invalid"
 	}
@@ -55,10 +71,23 @@
 	Reason Reason // None if the submission is accepted
 	// RetryAfter is when a rejected caller should return.
 	RetryAfter time.Duration
+	// Inputs are what the rules for the load were applied to; nil if they were not.
+	Inputs *Inputs
+}
+
+// Submission is a job that asks for admission.
+type Submission struct {
+	Job *work.Job
+	// TimeOfDay is the present wall-clock time. Return slots follow it, so that they are
+	// the same at all processes.
+	TimeOfDay time.Time
 }
 
-// State is what the process has seen of the store.
+// State is what the process has seen of the store, and of the load.
 type State struct {
+	Mirror *ledger.JobMirror // followed by Systems; may be nil if Load is not used
+	Load   Load
+
 	failingSince time.Time            // first failed call since the last success; zero if none failed
 	inFlight     map[uint64]time.Time // writes without a result, by ID
 }
@@ -115,13 +144,23 @@
 	return reason
 }
 
-// Decide decides on a submission.
-func (s *State) Decide(now time.Time, job string) Decision {
-	_, reason := s.outageSince(now)
-	if reason == None {
+// Decide decides on a submission: by the state of the store, and where the manifest has
+// teams, by the load.
+func (s *State) Decide(now time.Time, submission Submission) Decision {
+	if _, reason := s.outageSince(now); reason != None {
+		return Decision{Reason: reason, RetryAfter: s.RetryAfter(now, submission.Job.ID)}
+	}
+	if !s.Load.active || s.Mirror == nil {
 		return Decision{}
 	}
-	return Decision{Reason: reason, RetryAfter: s.RetryAfter(now, job)}
+	inputs := s.Load.inputs(now, s.Mirror.ReadAt, submission)
+	reason := inputs.reason()
+	decision := Decision{Reason: reason, Inputs: &inputs}
+	if reason != None {
+		inputs.RoomIn = inputs.excess(reason)
+		decision.RetryAfter = returnDelay(submission)
+	}
+	return decision
 }
 
 // RetryAfter returns when a caller that is rejected now should return, in whole
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
 var start = time.Unix(1000, 0)
 
+var submissionA = Submission{Job: &work.Job{ID: "a"}}
+
 // fail lets a write fail in each 60 ms from the start of an outage on, as the requests
 // held by a process do.
 func fail(s *State, from, to time.Time) {
@@ -24,16 +28,16 @@
 // against a process that never finds out that the store is back.
 func TestRefusingStoreRejectsAtOnce(t *testing.T) {
 	s := &State{}
-	if d := s.Decide(start, "a"); d.Reason != None {
+	if d := s.Decide(start, submissionA); d.Reason != None {
 		t.Fatalf("rejected as %v before any failure", d.Reason)
 	}
 	fail(s, start, start.Add(time.Second))
 	now := start.Add(time.Second)
-	if d := s.Decide(now, "a"); d.Reason != StoreRefuses || d.RetryAfter < minRetryDelay {
+	if d := s.Decide(now, submissionA); d.Reason != StoreRefuses || d.RetryAfter < minRetryDelay {
 		t.Errorf("the decision during the outage is %+v", d)
 	}
 	s.CallAnswered(now.Add(5*time.Millisecond), true) // a lease renewal
-	if d := s.Decide(now.Add(10*time.Millisecond), "a"); d.Reason != None {
+	if d := s.Decide(now.Add(10*time.Millisecond), submissionA); d.Reason != None {
 		t.Errorf("rejected as %v after a successful call", d.Reason)
 	}
 }
@@ -44,14 +48,14 @@
 func TestSilentStoreRejectsAtOnce(t *testing.T) {
 	s := &State{}
 	s.WriteSent(start, 1)
-	if d := s.Decide(start.Add(300*time.Millisecond), "a"); d.Reason != None {
+	if d := s.Decide(start.Add(300*time.Millisecond), submissionA); d.Reason != None {
 		t.Errorf("rejected as %v while the store is slow", d.Reason)
 	}
-	if d := s.Decide(start.Add(700*time.Millisecond), "a"); d.Reason != StoreSilent {
+	if d := s.Decide(start.Add(700*time.Millisecond), submissionA); d.Reason != StoreSilent {
 		t.Errorf("the reason is %v, want %v", d.Reason, StoreSilent)
 	}
 	s.WriteAnswered(start.Add(time.Second), 1, true)
-	if d := s.Decide(start.Add(time.Second), "a"); d.Reason != None {
+	if d := s.Decide(start.Add(time.Second), submissionA); d.Reason != None {
 		t.Errorf("rejected as %v after the answer", d.Reason)
 	}
 }
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -20,6 +20,7 @@
 // state that the traffic goroutines read. It must not block.
 func (p *Process) flush(s *State, tick engine.Tick) {
 	s.Intake.Replies.Drain(p.deliverReply)
+	s.Intake.Admission.Load.Waits.Drain(p.teamWaits.record)
 	s.Intake.Writes.Drain(p.write(s))
 	s.Ownership.Writes.Drain(p.write(s))
 	s.Dispatch.Out.Writes.Drain(p.write(s))
--- a/entry/process.go
+++ b/entry/process.go
@@ -86,6 +86,8 @@
 	metrics  *metrics.Metrics
 	counters counters
 	timers   timers
+	// teamWaits are the waits of jobs by team.
+	teamWaits teamWaits
 
 	ctx     context.Context //nolint:containedctx // cancels all calls of the process
 	cancel  context.CancelFunc
@@ -130,7 +132,7 @@
 		machines: platform.NewMachineClient(settings.MachinesAddress, func(err error) { log.Log(events.MachineRowInvalid, events.Err(err)) }), advice: platform.NewAdviceClient(settings.AdviceAddress),
 		wakeRecords: make(chan struct{}, 1), wakeRegistry: make(chan struct{}, 1),
 	}
-	p.counters.scope, p.timers.scope = p.metrics.Scope, p.metrics.Scope
+	p.counters.scope, p.timers.scope, p.teamWaits.scope = p.metrics.Scope, p.metrics.Scope, p.metrics.Scope
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	program := engine.Program[State, event]{
 		Apply:   func(s *State, tick engine.Tick, e event) { e.apply(s, tick) },
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/waxwingbridge/waxwingbridge/admission"
 	"github.com/waxwingbridge/waxwingbridge/dispatch"
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
@@ -62,6 +63,7 @@
 // systems returns the systems of a tick in their order of execution.
 func systems() []engine.System[State] {
 	return slices.Concat(
+		engine.Lift(func(s *State) *admission.State { return &s.Intake.Admission }, admission.Systems),
 		engine.Lift(func(s *State) *intake.State { return s.Intake }, intake.Systems),
 		engine.Lift(func(s *State) *ownership.State { return &s.Ownership }, ownership.Systems),
 		[]engine.System[State]{
@@ -215,6 +217,7 @@
 			s.applyManifest(tick, e.Manifest, e.Revision, receivedAt)
 		}
 	case platform.EntryWorker:
+		s.Intake.Admission.Load.ApplyWorker(e.Name, e.Worker, e.Revision)
 		if e.Deleted {
 			s.Dispatch.WorkerRemoved(e.Name, e.Revision)
 		} else {
@@ -248,9 +251,11 @@
 		s.Machines.ApplyOrder(tick.Now, record)
 	case ledger.KindDemand:
 		s.Machines.ApplyDemand(tick.Now, record)
+		s.Intake.Admission.Load.ApplyReport(tick.Now, record)
 	case ledger.KindPartitions:
 		if partitions, ok := record.Content.(*work.Partitions); ok {
 			s.Dispatch.Partitions, s.Machines.Partitions = *partitions, *partitions
+			s.Intake.Admission.Load.Partitions = *partitions
 			s.updateRequiredDuties(tick)
 		}
 	default:
@@ -267,6 +272,7 @@
 	s.Manifest = m
 	s.Dispatch.IsPool = func(pool string) bool { return m.Pool(pool) != nil }
 	s.Dispatch.Team = m.Team
+	s.Intake.Admission.Load.Configure(m)
 	s.updateRequiredDuties(tick)
 	s.Logs.Add(events.Record{Event: events.ManifestInForce, Fields: []events.Field{
 		events.F("version", m.Version), events.F("revision", revision), events.F("queues", len(m.Queues)), events.F("pools", len(m.Pools)),
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -105,6 +105,8 @@
 	maybeDurable bool      // a write that contained it has an unknown result
 	retryAt      time.Time // zero until a write that contained it has failed
 	notStored    bool      // of a Cancel: a lookup has found no job
+	// rejection is set on a Submit that is rejected after the next read of the store.
+	rejection *admission.Decision
 }
 
 // Reply answers a request.
@@ -116,6 +118,7 @@
 	// Reason and RetryAfter are set if the request was refused.
 	Reason     admission.Reason
 	RetryAfter time.Duration
+	Inputs     *admission.Inputs // of a rejection for the load
 }
 
 // Lookup is an outbound read of a job's records, for a request that the mirror
@@ -136,23 +139,34 @@
 	Logs      table.Outbound[events.Record]
 	NextWrite func() uint64
 
-	// Admission decides on submissions from the results of writes.
+	// Admission decides on submissions.
 	Admission admission.State
 
-	writes      map[uint64][]table.ID // requests in writes in flight, by write
+	writes      map[uint64][]written // requests in writes in flight, by write
 	lastWriteAt time.Time
+
+	submissions     table.Table[submission]
+	submissionByJob table.Index[string]
+}
+
+// written is a request in a write. It may have been answered since.
+type written struct {
+	request table.ID
+	job     string // of a Submit
 }
 
 // New returns an empty state.
 func New(mirror *ledger.JobMirror, nextWrite func() uint64) *State {
-	return &State{Mirror: mirror, NextWrite: nextWrite, writes: map[uint64][]table.ID{}}
+	return &State{Mirror: mirror, NextWrite: nextWrite, writes: map[uint64][]written{}, Admission: admission.State{Mirror: mirror}}
 }
 
 // Systems lists the systems in the order in which they run.
 var Systems = []engine.System[State]{
 	{Name: "answer from the mirror", Run: answerFromMirror},
+	{Name: "reject submissions", Run: rejectSubmissions},
 	{Name: "expire requests", Run: expireRequests},
 	{Name: "write requests", Run: writeRequests},
+	{Name: "forget submissions", Run: forgetSubmissions},
 }
 
 // Receive answers a request from the mirror if possible. Otherwise it holds the
@@ -174,14 +188,12 @@
 		s.reply(tick, &r, Reply{Outcome: StateReturned, State: job.State()})
 	case r.Verb == Cancel && job != nil && job.State().Final():
 		s.reply(tick, &r, Reply{Outcome: cancelOutcome(job)})
+	case s.Requests.Len() >= maxHeldRequests && r.Verb == Submit && s.mayBeStored(tick.Now, r.Job):
+		s.reply(tick, &r, Reply{Outcome: Unresolved})
 	case s.Requests.Len() >= maxHeldRequests:
 		s.reply(tick, &r, Reply{Outcome: refusalOutcome(r.Verb), Reason: admission.TooManyHeld})
 	case r.Verb == Submit:
-		if decision := s.Admission.Decide(tick.Now, r.Job); decision.Reason != admission.None {
-			s.reply(tick, &r, Reply{Outcome: NotAccepted, Reason: decision.Reason, RetryAfter: decision.RetryAfter})
-			return
-		}
-		s.Requests.Insert(r)
+		s.receiveSubmission(tick, r)
 	case r.Verb == Cancel && known:
 		s.Requests.Insert(r)
 	default:
@@ -231,6 +243,9 @@
 	if refused {
 		fields = append(fields, events.F("reason", reply.Reason.String()), events.F("retry_after_s", reply.RetryAfter.Seconds()))
 	}
+	if reply.Inputs != nil {
+		fields = append(fields, reply.Inputs.Fields()...)
+	}
 	if refused || reply.Outcome == Unresolved {
 		event = events.RequestNotServed
 	}
@@ -238,7 +253,11 @@
 }
 
 func (s *State) complete(tick engine.Tick, id table.ID, reply Reply) {
-	s.reply(tick, s.Requests.Get(id), reply)
+	r := s.Requests.Get(id)
+	s.reply(tick, r, reply)
+	if r.Verb == Submit && r.rejection == nil {
+		s.submissionOf(r.Job).requests--
+	}
 	s.Requests.Delete(id)
 }
 
@@ -265,11 +284,12 @@
 	silent := s.Admission.Outage(tick.Now) == admission.StoreSilent
 	for id, r := range s.Requests.All() {
 		late := !tick.Now.Before(r.Deadline.Add(-replyMargin))
-		refused := !r.retryAt.IsZero() && !r.maybeDurable && r.writeID == 0 && tick.Now.Sub(r.receivedAt) > refusalTimeout
-		unsent := silent && r.Verb == Submit && r.writeID == 0 && !r.maybeDurable
+		inDoubt := r.maybeDurable || r.writeID != 0 || r.Verb == Submit && s.mayBeStored(tick.Now, r.Job)
+		refused := !r.retryAt.IsZero() && !inDoubt && tick.Now.Sub(r.receivedAt) > refusalTimeout
+		unsent := silent && r.Verb == Submit && !inDoubt
 		switch {
 		case !late && !refused && !unsent:
-		case r.maybeDurable || r.writeID != 0:
+		case inDoubt:
 			s.complete(tick, id, Reply{Outcome: Unresolved})
 		case unsent:
 			s.complete(tick, id, Reply{Outcome: NotAccepted, Reason: admission.StoreSilent})
@@ -289,10 +309,10 @@
 		return
 	}
 	write := ledger.Write{ID: s.NextWrite()}
-	var rows []table.ID
+	var rows []written
 	batched := map[string]bool{}
 	for id, r := range s.Requests.All() {
-		if r.writeID != 0 || tick.Now.Before(r.retryAt) || (r.Verb == Cancel && !s.isKnown(r.Job) && !r.notStored) || r.Verb == Status {
+		if r.writeID != 0 || tick.Now.Before(r.retryAt) || (r.Verb == Cancel && !s.isKnown(r.Job) && !r.notStored) || r.Verb == Status || r.rejection != nil {
 			continue
 		}
 		if len(rows) == maxBatch || batched[r.Job] {
@@ -304,7 +324,12 @@
 		}
 		write.Put = append(write.Put, ledger.Put{Key: r.key(), Content: r.content()})
 		r.writeID = write.ID
-		rows = append(rows, id)
+		row := written{request: id}
+		if r.Verb == Submit {
+			row.job = r.Job
+			s.submissionSent(r.Job)
+		}
+		rows = append(rows, row)
 	}
 	if len(rows) == 0 {
 		return
@@ -354,7 +379,11 @@
 			events.F("requests", len(rows)), events.F("outcome", result.Outcome.String()), events.Err(result.Err),
 		}})
 	}
-	for _, id := range rows {
+	for _, row := range rows {
+		if row.job != "" {
+			s.submissionAnswered(tick.Now, row.job, result.Outcome == ledger.Unknown)
+		}
+		id := row.request
 		r := s.Requests.Get(id)
 		if r == nil {
 			s.applyCommitted(tick, nil, result)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -22,6 +22,7 @@
 	FinishedAt       time.Time // local time at which a final state was first observed
 
 	changed bool
+	noted   bool // in JobMirror.notedJobs
 }
 
 // Pool returns the pool whose owner is responsible for the records of the job.
@@ -56,6 +57,8 @@
 	// ReadAt is when the last call was sent whose answer has been applied: the mirror
 	// has all changes that the store acknowledged before.
 	ReadAt time.Time
+	// NotesJobs makes the mirror keep the list that TakeNotedJobs returns.
+	NotesJobs bool
 
 	byID table.Index[string]
 	// lostProgress counts the jobs whose progress record was deleted while their job
@@ -63,6 +66,7 @@
 	lostProgress int
 	pending      map[string]int // jobs counted by PendingJobs, by queue
 	changed      []table.ID
+	notedJobs    []string
 }
 
 // Find returns the ID and row of a job, or a nil row if the mirror has none.
@@ -98,6 +102,26 @@
 	return changed
 }
 
+// TakeNotedJobs returns the IDs of the jobs that have changed or been removed since the
+// last call, if NotesJobs is set. An ID may occur twice.
+func (m *JobMirror) TakeNotedJobs() []string {
+	noted := m.notedJobs
+	m.notedJobs = nil
+	for _, id := range noted {
+		if _, j := m.Find(id); j != nil {
+			j.noted = false
+		}
+	}
+	return noted
+}
+
+func (m *JobMirror) note(j *Job) {
+	if m.NotesJobs && !j.noted {
+		j.noted = true
+		m.notedJobs = append(m.notedJobs, j.ID)
+	}
+}
+
 // TakeLostProgress returns how many jobs have lost their progress record, but not their
 // job record, since the last call.
 func (m *JobMirror) TakeLostProgress() int {
@@ -132,6 +156,7 @@
 		m.lostProgress++
 	}
 	m.updatePending(before, j.pendingQueue())
+	m.note(j)
 	if j.Spec == nil && j.Progress == nil && record.Deleted {
 		m.Remove(id)
 		return
@@ -202,6 +227,7 @@
 func (m *JobMirror) Remove(id table.ID) {
 	if j := m.Jobs.Get(id); j != nil {
 		m.updatePending(j.pendingQueue(), "")
+		m.note(j)
 		m.byID.Delete(j.ID)
 		m.Jobs.Delete(id)
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -70,6 +70,12 @@
 		Histogram("job_start_wait_seconds", latencyBuckets)
 }
 
+// TeamWait returns the histogram of times from the acceptance of a job to its start by
+// team.
+func TeamWait(scope tally.Scope, team string) tally.Histogram {
+	return scope.Tagged(map[string]string{"team": team}).Histogram("team_wait_seconds", latencyBuckets)
+}
+
 // Latency returns the histogram with the given name; the suffix _seconds is added.
 func Latency(scope tally.Scope, step string) tally.Histogram {
 	return scope.Histogram(step+"_seconds", latencyBuckets)
