--- a/admission/rules.go
+++ b/admission/rules.go
@@ -22,6 +22,9 @@
 	// minAllowedShare is the least share of the objective that a job is expected to wait
 	// without being late: estimates of run times are off by up to 90 %.
 	minAllowedShare = 0.25
+	// overShareFactor keeps teams of equal demand, whose shares vary by chance, from being
+	// turned away in turn.
+	overShareFactor = 1.5
 	// overloadFactor is the number of objectives after which a job earns nothing.
 	overloadFactor = 3
 	// certainShare is the share of the outstanding work that there is at least, if all
@@ -43,6 +46,9 @@
 	PoolWork float64 // core-seconds outstanding in the pool that may delay the job
 	Capacity float64 // cores of the pool
 	Spare    float64 // cores that other pools don't need
+	// PoolShare is the team's share of the outstanding work in the pool, and OwedShare its
+	// weighted share among the teams that have work there.
+	PoolShare, OwedShare float64
 
 	// TeamWait and PoolWait are the expected times until the outstanding work of the
 	// team is done at its cap, and that of the pool at its capacity.
@@ -67,6 +73,11 @@
 // overWeight reports whether the team sends more than its weight, this job included.
 func (in *Inputs) overWeight() bool { return in.Listed && in.UnderWeightIn > 0 }
 
+// overShare reports whether the team has more than overShareFactor times its weighted share
+// of the work in the pool. Where all teams send more than their weights at once, none is
+// turned away for the others.
+func (in *Inputs) overShare() bool { return in.PoolShare > overShareFactor*in.OwedShare }
+
 // room returns the longest wait with which the job is accepted beyond the team's weight.
 func (in *Inputs) room() time.Duration {
 	if in.Due {
@@ -84,7 +95,7 @@
 		return TeamAtCap
 	case !in.CapacityKnown:
 		return None
-	case in.overWeight() && in.PoolWait > in.room():
+	case in.overWeight() && in.overShare() && in.PoolWait > in.room():
 		return TeamOverShare
 	case in.SureWait > overloadFactor*in.Objective:
 		return PoolOverloaded
@@ -132,7 +143,11 @@
 	in.PoolWork = l.poolWork(poolID, in.Allowed)
 	in.PoolWait = waitFor(in.PoolWork, in.Capacity, in.Spare)
 	certain := certainShare * l.poolWork(poolID, overloadFactor*in.Objective)
-	in.SureWait = min(waitFor(certain, in.Capacity, in.Spare), l.shareWait(teamID, poolID, weight, &in))
+	own := l.share(teamID, poolID, weight, &in)
+	in.SureWait = waitFor(certain, in.Capacity, in.Spare)
+	if weight > 0 {
+		in.SureWait = min(in.SureWait, waitFor(certainShare*own, in.Capacity*in.OwedShare, 0))
+	}
 	return in
 }
 
@@ -172,23 +187,28 @@
 	return sum
 }
 
-// shareWait returns the time until the team's own work in the pool is done at its share,
-// which it has beside all teams with work there.
-func (l *Load) shareWait(team, pool table.ID, weight float64, in *Inputs) time.Duration {
-	if weight <= 0 {
-		return unknownWait
-	}
-	own, sum := 0.0, weight
+// share finds the team's share of the work in the pool and the one that it is owed. It
+// returns the team's work there, in core-seconds.
+func (l *Load) share(team, pool table.ID, weight float64, in *Inputs) float64 {
+	own, all, weights := 0.0, 0.0, weight
 	for _, id := range l.usesOfPool.Get(pool) {
 		u := l.Uses.Get(id)
+		amount := u.work.expected()
+		all += amount
 		switch {
 		case u.Team == team:
-			own = u.work.expected()
-		case u.work.all > 0:
-			sum += l.Teams.Get(u.Team).Weight
+			own = amount
+		case amount > 0:
+			weights += l.Teams.Get(u.Team).Weight
 		}
 	}
-	return waitFor(certainShare*own, in.Capacity*weight/sum, 0)
+	if all > 0 {
+		in.PoolShare = own / all
+	}
+	if weights > 0 {
+		in.OwedShare = weight / weights
+	}
+	return own
 }
 
 // waitFor returns the time in which work is done by a number of cores, to which others
@@ -213,7 +233,7 @@
 		events.F("team", in.Team), events.F("weight", in.Weight), events.F("sent", in.Sent),
 		events.F("team_core_s", int(in.TeamWork)), events.F("cap_cores", int(in.Cap)), events.F("team_wait_ms", in.TeamWait.Milliseconds()),
 		events.F("pool_core_s", int(in.PoolWork)), events.F("pool_cores", int(in.Capacity)), events.F("spare_cores", int(in.Spare)),
-		events.F("pool_wait_ms", in.PoolWait.Milliseconds()), events.F("sure_wait_ms", in.SureWait.Milliseconds()),
+		events.F("pool_share", in.PoolShare), events.F("owed_share", in.OwedShare), events.F("pool_wait_ms", in.PoolWait.Milliseconds()), events.F("sure_wait_ms", in.SureWait.Milliseconds()),
 		events.F("objective_ms", in.Objective.Milliseconds()), events.F("allowed_ms", in.Allowed.Milliseconds()), events.F("due", in.Due),
 		events.F("room_in_ms", in.RoomIn.Milliseconds()),
 		events.F("view_age_ms", in.MirrorAge.Milliseconds()), events.F("report_age_ms", in.ReportAge.Milliseconds()),
