--- a/admission/rules.go
+++ b/admission/rules.go
@@ -129,6 +129,9 @@
 	if known {
 		t := l.Teams.Get(teamID)
 		allowed := t.Weight * sentWindow.Seconds()
+		if t.Weight > 0 { // one job in the window is within any weight
+			allowed = max(1, allowed)
+		}
 		in.UnderWeightIn = t.sent.until(now, allowed-1)
 		in.Listed, in.Weight, in.Sent = t.Listed, t.Weight, float64(t.sent.total)/sentWindow.Seconds()
 		in.TeamWork, in.Cap = t.work.expected(), float64(t.Cap)/1000
@@ -227,12 +230,17 @@
 	return time.Duration(min(seconds, unknownWait.Seconds()) * float64(time.Second))
 }
 
+// ExpectsLate reports whether the job is expected to be late.
+func (in *Inputs) ExpectsLate() bool {
+	return in.MirrorFresh && (in.TeamWait > in.Allowed || in.CapacityKnown && in.PoolWait > in.Allowed)
+}
+
 // Fields returns the inputs for the log.
 func (in *Inputs) Fields() []events.Field {
 	return []events.Field{
 		events.F("team", in.Team), events.F("weight", in.Weight), events.F("sent", in.Sent),
 		events.F("team_core_s", int(in.TeamWork)), events.F("cap_cores", int(in.Cap)), events.F("team_wait_ms", in.TeamWait.Milliseconds()),
-		events.F("pool_core_s", int(in.PoolWork)), events.F("pool_cores", int(in.Capacity)), events.F("spare_cores", int(in.Spare)),
+		events.F("pool_core_s", int(in.PoolWork)), events.F("pool_cores", int(in.Capacity)), events.F("capacity_known", in.CapacityKnown), events.F("spare_cores", int(in.Spare)),
 		events.F("pool_share", in.PoolShare), events.F("owed_share", in.OwedShare), events.F("pool_wait_ms", in.PoolWait.Milliseconds()), events.F("sure_wait_ms", in.SureWait.Milliseconds()),
 		events.F("objective_ms", in.Objective.Milliseconds()), events.F("allowed_ms", in.Allowed.Milliseconds()), events.F("due", in.Due),
 		events.F("room_in_ms", in.RoomIn.Milliseconds()),
--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -26,6 +26,8 @@
 		{Name: "large", Weight: 8, Cap: placement.Resources{MilliCores: 20_000}},
 		{Name: "small", Weight: 1, Cap: placement.Resources{MilliCores: 20_000}},
 		{Name: "unlimited", Weight: 1},
+		{Name: "tiny", Weight: 0.1, Cap: placement.Resources{MilliCores: 100}},
+		{Name: "weightless", Cap: placement.Resources{MilliCores: 100}},
 	})
 	f.s.Load.Configure(m)
 	for i := range 4 {
@@ -101,6 +103,14 @@
 			f.send("unlimited", 300)
 			f.send("large", 33)
 		}, "unlimited", TeamOverShare},
+		"its first job in the window, of a weight below a job in the window": {func(f *site) {
+			f.stored(spec("huge", "tiny", 300, 1), nil)
+			f.step(sentWindow)
+		}, "tiny", None},
+		"without a weight, at its cap": {func(f *site) {
+			f.stored(spec("huge", "weightless", 300, 1), nil)
+			f.step(sentWindow)
+		}, "weightless", TeamAtCap},
 		"over its weight, alone in a full pool": {func(f *site) {
 			f.send("unlimited", 150)
 		}, "unlimited", None},
--- a/admission/systems.go
+++ b/admission/systems.go
@@ -59,7 +59,7 @@
 		j.sentAt, j.counted = l.Teams.Get(j.team).sent.add(now), true
 	}
 	state := mirrored.State()
-	if j.own && state != work.JobQueued {
+	if j.own && mirrored.Progress != nil {
 		j.own = false
 		l.Waits.Add(Wait{Team: mirrored.Spec.Team, Time: now.Sub(j.firstSeen)})
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -107,6 +107,7 @@
 	notStored    bool      // of a Cancel: a lookup has found no job
 	// rejection is set on a Submit that is rejected after the next read of the store.
 	rejection *admission.Decision
+	inputs    *admission.Inputs // of the acceptance of a job that is expected to be late
 }
 
 // Reply answers a request.
@@ -118,7 +119,9 @@
 	// Reason and RetryAfter are set if the request was refused.
 	Reason     admission.Reason
 	RetryAfter time.Duration
-	Inputs     *admission.Inputs // of a rejection for the load
+	// Inputs are set if the submission was rejected for the load, or accepted although the
+	// job is expected to be late.
+	Inputs *admission.Inputs
 }
 
 // Lookup is an outbound read of a job's records, for a request that the mirror
@@ -254,6 +257,9 @@
 
 func (s *State) complete(tick engine.Tick, id table.ID, reply Reply) {
 	r := s.Requests.Get(id)
+	if reply.Inputs == nil {
+		reply.Inputs = r.inputs
+	}
 	s.reply(tick, r, reply)
 	if r.Verb == Submit && r.rejection == nil {
 		s.submissionOf(r.Job).requests--
--- a/intake/submissions.go
+++ b/intake/submissions.go
@@ -66,10 +66,19 @@
 	case decision.Reason != admission.None:
 		s.reply(tick, &r, Reply{Outcome: NotAccepted, Reason: decision.Reason, RetryAfter: decision.RetryAfter})
 	default:
+		r.keepInputs(decision)
 		s.acceptSubmission(tick, s.Requests.Insert(r))
 	}
 }
 
+// keepInputs keeps what the decision on an accepted submission was based on, for the log,
+// if the job is expected to be late.
+func (r *Request) keepInputs(decision admission.Decision) {
+	if decision.Inputs != nil && decision.Inputs.ExpectsLate() {
+		r.inputs = decision.Inputs
+	}
+}
+
 func (r *Request) submission(now time.Time) admission.Submission {
 	return admission.Submission{Job: r.Spec, TimeOfDay: r.Spec.AcceptedAt.Add(now.Sub(r.receivedAt))}
 }
@@ -101,6 +110,7 @@
 		default:
 			decision := s.Admission.Decide(tick.Now, r.submission(tick.Now))
 			if decision.Reason == admission.None {
+				r.keepInputs(decision)
 				s.acceptSubmission(tick, id)
 				continue
 			}
--- a/intake/submissions_test.go
+++ b/intake/submissions_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/waxwingbridge/waxwingbridge/admission"
 	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/work"
@@ -151,3 +152,35 @@
 		t.Errorf("%d submissions are kept", h.s.submissions.Len())
 	}
 }
+
+// Guards against refused or late jobs whose decision an operator can't find by their ID.
+func TestDecisionsAreLoggedWithTheirInputs(t *testing.T) {
+	for _, weight := range []float64{1, 100} {
+		h := newTeamHarness()
+		for _, team := range h.s.Admission.Load.Teams.All() {
+			team.Weight = weight
+		}
+		h.submit(1, "j")
+		h.step(100 * time.Millisecond)
+		for _, w := range h.writes() {
+			h.s.WriteDone(engine.Tick{Now: h.now}, ledger.WriteResult{ID: w.ID, Outcome: ledger.Applied, Revision: 9})
+		}
+		h.s.Mirror.ReadAt = h.now
+		h.step(time.Millisecond)
+		fields := map[string]any{}
+		h.s.Logs.Drain(func(r events.Record) {
+			for _, f := range r.Fields {
+				fields[f.Key] = f.Value
+			}
+		})
+		want := map[string]any{"job": "j", "outcome": "accepted", "team": "t", "weight": weight, "sent": 2.5, "team_wait_ms": int64(10_000), "capacity_known": false, "view_age_ms": int64(0)}
+		if weight == 1 {
+			want["outcome"], want["reason"], want["view_age_ms"] = "not-accepted", "team-at-cap", int64(1)
+		}
+		for key, value := range want {
+			if fields[key] != value {
+				t.Errorf("weight %v: field %s is %v, want %v", weight, key, fields[key], value)
+			}
+		}
+	}
+}
