--- a/admission/admission.go
+++ b/admission/admission.go
@@ -44,8 +44,8 @@
 	TooManyHeld                  // the process holds the largest number of requests
 	DeadlineClose                // the caller's deadline leaves no time for a write
 	MirrorOld                    // the process has not read the store's changes for too long
-	TeamAtCap                    // the team sends more than its weight, and its work fills its cap
-	TeamOverShare                // the team sends more than its weight, and the pool is full
+	TeamAtCap                    // the team's work surely fills its cap until the job is worth nothing
+	TeamOverShare                // the pool is full, and the team's work surely fills its share until then
 	PoolOverloaded               // the pool can't serve the job before it is worth nothing
 )
 
@@ -154,11 +154,10 @@
 		return Decision{}
 	}
 	inputs := s.Load.inputs(now, s.Mirror.ReadAt, submission)
-	reason := inputs.reason()
+	reason := inputs.decide(submission)
 	decision := Decision{Reason: reason, Inputs: &inputs}
 	if reason != None {
-		inputs.RoomIn = inputs.excess(reason)
-		decision.RetryAfter = returnDelay(submission)
+		decision.RetryAfter = returnDelay(submission, inputs.Slots)
 	}
 	return decision
 }
--- a/admission/load.go
+++ b/admission/load.go
@@ -39,9 +39,8 @@
 
 	active    bool // the manifest has teams
 	reload    bool // the mirrored jobs are not in the tables yet
-	lastRead  time.Time
-	spare     int // machines that the owners of all pools don't need
-	millicore int // of all registered workers
+	spare     int  // machines that the owners of all pools don't need
+	millicore int  // of all registered workers
 
 	teamByName   table.Index[string]
 	poolByName   table.Index[string]
@@ -61,7 +60,6 @@
 	Weight float64
 	Cap    int // thousandths of a core; 0 means no limit
 	Listed bool
-	sent   window
 	work   outstanding
 	jobs   int
 }
@@ -109,11 +107,8 @@
 	use       table.ID
 	work      int64 // outstanding
 	late      bool  // its objective has passed
-	mirrored  bool
-	held      bool // this process may still store it
-	own       bool // this process accepted it and has not reported its wait
-	sentAt    int64
-	counted   bool // in the team's window, in the interval sentAt
+	held      bool  // this process may still store it
+	own       bool  // this process accepted it and has not reported its wait
 	firstSeen time.Time
 }
 
@@ -243,14 +238,11 @@
 	l.addWork(j, j.work, true)
 }
 
-func (l *Load) deleteJob(now time.Time, id table.ID) {
+func (l *Load) deleteJob(id table.ID) {
 	l.setWork(id, 0)
 	l.inTime.Remove(id)
 	j := *l.Jobs.Get(id)
 	team := l.Teams.Get(j.team)
-	if j.counted && !j.mirrored { // never stored, so the team has not sent it
-		team.sent.remove(now, j.sentAt)
-	}
 	l.jobByID.Delete(j.ID)
 	l.Jobs.Delete(id)
 	team.jobs--
--- a/admission/rules.go
+++ b/admission/rules.go
@@ -38,8 +38,7 @@
 type Inputs struct {
 	Team   string
 	Listed bool    // the manifest has the team
-	Weight float64 // jobs a second
-	Sent   float64 // jobs a second, over sentWindow
+	Weight float64 // relative share of a full pool
 
 	TeamWork float64 // core-seconds outstanding of the team in all pools
 	Cap      float64 // cores; 0 means no limit
@@ -53,37 +52,57 @@
 	// TeamWait and PoolWait are the expected times until the outstanding work of the
 	// team is done at its cap, and that of the pool at its capacity.
 	TeamWait, PoolWait time.Duration
-	// SureWait is the least time until the pool can serve the job: the work that is
-	// certain, or the team's own at its share if that is less.
+	// CapWait and ShareWait are the times until the certain part of the team's work is
+	// done: all of it at its cap, and that in the pool at its share of the capacity.
+	CapWait, ShareWait time.Duration
+	// SureWait is the least time until the pool can serve the job: the certain part of all
+	// work, or the team's own at its share if that is less.
 	SureWait  time.Duration
 	Objective time.Duration
 	Allowed   time.Duration // wait from which the job is expected to be late
-	Due       bool          // the caller may have returned when it was told
+	Worth     time.Duration // wait from which the job earns nothing
+	// Slots are those over which rejected callers are spread, and Due tells whether the
+	// caller may have returned when it was told. Both are set only if the job exceeds the
+	// bounds for new callers.
+	Slots int
+	Due   bool
 
 	MirrorAge time.Duration
 	ReportAge time.Duration // of the oldest report of the pool
 	// MirrorFresh and CapacityKnown tell whether the rules that need them apply.
 	MirrorFresh, CapacityKnown bool
-	// UnderWeightIn is the time until the team has sent no more than its weight.
-	UnderWeightIn time.Duration
-	// RoomIn is the time until a rejected submission may be accepted.
+	// RoomIn is the time until the excess over the bounds for new callers is worked off.
 	RoomIn time.Duration
 }
 
-// overWeight reports whether the team sends more than its weight, this job included.
-func (in *Inputs) overWeight() bool { return in.Listed && in.UnderWeightIn > 0 }
-
 // overShare reports whether the team has more than overShareFactor times its weighted share
-// of the work in the pool. Where all teams send more than their weights at once, none is
-// turned away for the others.
+// of the work in the pool. Where all teams send more than can be served, none is turned
+// away for the others.
 func (in *Inputs) overShare() bool { return in.PoolShare > overShareFactor*in.OwedShare }
 
-// room returns the longest wait with which the job is accepted beyond the team's weight.
+// poolFull reports whether a new job is expected to be late in the pool. Shares count only
+// there: while there is room, a team may use what the others leave.
+func (in *Inputs) poolFull() bool { return in.PoolWait > in.Allowed }
+
+// room returns the longest wait with which the job is accepted.
 func (in *Inputs) room() time.Duration {
 	if in.Due {
-		return in.Allowed
+		return in.Worth
 	}
-	return time.Duration((1 - reservedShare) * float64(in.Allowed))
+	return time.Duration((1 - reservedShare) * float64(in.Worth))
+}
+
+// decide applies the rules, at first with the bounds for new callers, then with those for
+// callers who are due.
+func (in *Inputs) decide(submission Submission) Reason {
+	reason := in.reason()
+	if reason == None {
+		return None
+	}
+	in.RoomIn = in.excess(reason)
+	in.Slots = slotsFor(in.RoomIn)
+	in.Due = isDue(submission, in.Slots)
+	return in.reason()
 }
 
 // reason applies the rules in their order.
@@ -91,11 +110,11 @@
 	switch {
 	case !in.MirrorFresh:
 		return None
-	case in.overWeight() && in.Cap > 0 && in.TeamWait > in.room():
+	case in.Listed && in.Cap > 0 && in.CapWait > in.room():
 		return TeamAtCap
 	case !in.CapacityKnown:
 		return None
-	case in.overWeight() && in.overShare() && in.PoolWait > in.room():
+	case in.Listed && in.overShare() && in.poolFull() && in.ShareWait > in.room():
 		return TeamOverShare
 	case in.SureWait > overloadFactor*in.Objective:
 		return PoolOverloaded
@@ -109,9 +128,9 @@
 func (in *Inputs) excess(reason Reason) time.Duration {
 	switch reason {
 	case TeamAtCap:
-		return min(in.TeamWait-in.room(), in.UnderWeightIn)
+		return in.CapWait - in.room()
 	case TeamOverShare:
-		return min(in.PoolWait-in.room(), in.UnderWeightIn)
+		return min(in.ShareWait-in.room(), in.PoolWait-in.Allowed)
 	default:
 		return in.SureWait - overloadFactor*in.Objective
 	}
@@ -121,21 +140,19 @@
 // the pool.
 func (l *Load) inputs(now, mirrorReadAt time.Time, submission Submission) Inputs {
 	job := submission.Job
-	in := Inputs{Team: job.Team, Objective: objective(job), MirrorAge: now.Sub(mirrorReadAt), Due: isDue(submission)}
+	in := Inputs{Team: job.Team, Objective: objective(job), MirrorAge: now.Sub(mirrorReadAt)}
 	in.MirrorFresh = in.MirrorAge <= maxViewAge
-	in.Allowed = max(in.Objective-longestChain(job), time.Duration(minAllowedShare*float64(in.Objective)))
+	chain := longestChain(job)
+	in.Worth = overloadFactor*in.Objective - chain
+	in.Allowed = max(in.Objective-chain, time.Duration(minAllowedShare*float64(in.Objective)))
 	weight := 0.0
 	teamID, known := l.teamByName.Get(job.Team)
 	if known {
 		t := l.Teams.Get(teamID)
-		allowed := t.Weight * sentWindow.Seconds()
-		if t.Weight > 0 { // one job in the window is within any weight
-			allowed = max(1, allowed)
-		}
-		in.UnderWeightIn = t.sent.until(now, allowed-1)
-		in.Listed, in.Weight, in.Sent = t.Listed, t.Weight, float64(t.sent.total)/sentWindow.Seconds()
+		in.Listed, in.Weight = t.Listed, t.Weight
 		in.TeamWork, in.Cap = t.work.expected(), float64(t.Cap)/1000
 		in.TeamWait = waitFor(in.TeamWork, in.Cap, 0)
+		in.CapWait = waitFor(certainShare*in.TeamWork, in.Cap, 0)
 		weight = t.Weight
 	}
 	poolID, known := l.poolByName.Get(job.Pool)
@@ -148,8 +165,9 @@
 	certain := certainShare * l.poolWork(poolID, overloadFactor*in.Objective)
 	own := l.share(teamID, poolID, weight, &in)
 	in.SureWait = waitFor(certain, in.Capacity, in.Spare)
+	in.ShareWait = waitFor(certainShare*own, in.Capacity*in.OwedShare, in.Spare*in.OwedShare)
 	if weight > 0 {
-		in.SureWait = min(in.SureWait, waitFor(certainShare*own, in.Capacity*in.OwedShare, 0))
+		in.SureWait = min(in.SureWait, in.ShareWait)
 	}
 	return in
 }
@@ -208,6 +226,7 @@
 	if all > 0 {
 		in.PoolShare = own / all
 	}
+	in.OwedShare = 1 // without weights there are no shares to exceed
 	if weights > 0 {
 		in.OwedShare = weight / weights
 	}
@@ -238,12 +257,12 @@
 // Fields returns the inputs for the log.
 func (in *Inputs) Fields() []events.Field {
 	return []events.Field{
-		events.F("team", in.Team), events.F("weight", in.Weight), events.F("sent", in.Sent),
-		events.F("team_core_s", int(in.TeamWork)), events.F("cap_cores", int(in.Cap)), events.F("team_wait_ms", in.TeamWait.Milliseconds()),
+		events.F("team", in.Team), events.F("weight", in.Weight),
+		events.F("team_core_s", int(in.TeamWork)), events.F("cap_cores", int(in.Cap)), events.F("team_wait_ms", in.TeamWait.Milliseconds()), events.F("cap_wait_ms", in.CapWait.Milliseconds()),
 		events.F("pool_core_s", int(in.PoolWork)), events.F("pool_cores", int(in.Capacity)), events.F("capacity_known", in.CapacityKnown), events.F("spare_cores", int(in.Spare)),
-		events.F("pool_share", in.PoolShare), events.F("owed_share", in.OwedShare), events.F("pool_wait_ms", in.PoolWait.Milliseconds()), events.F("sure_wait_ms", in.SureWait.Milliseconds()),
-		events.F("objective_ms", in.Objective.Milliseconds()), events.F("allowed_ms", in.Allowed.Milliseconds()), events.F("due", in.Due),
-		events.F("room_in_ms", in.RoomIn.Milliseconds()),
+		events.F("pool_share", in.PoolShare), events.F("owed_share", in.OwedShare), events.F("pool_wait_ms", in.PoolWait.Milliseconds()), events.F("share_wait_ms", in.ShareWait.Milliseconds()), events.F("sure_wait_ms", in.SureWait.Milliseconds()),
+		events.F("objective_ms", in.Objective.Milliseconds()), events.F("allowed_ms", in.Allowed.Milliseconds()), events.F("worth_ms", in.Worth.Milliseconds()),
+		events.F("room_in_ms", in.RoomIn.Milliseconds()), events.F("slots", in.Slots), events.F("due", in.Due),
 		events.F("view_age_ms", in.MirrorAge.Milliseconds()), events.F("report_age_ms", in.ReportAge.Milliseconds()),
 	}
 }
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -7,36 +7,45 @@
 )
 
 // A rejected caller is told to return in its slot: a second of the wall clock whose number
-// agrees with the hash of the job's ID. Each process can tell from the ID and its own clock
-// whether a caller may have been told to return now, without any exchange. New callers are
-// in their slot by chance, one in returnSlots.
+// agrees with the hash of the job's ID, modulo the number of slots. Each process can tell
+// from the ID, its clock and the expected room whether a caller may have been told to
+// return now, without any exchange. New callers are in their slot by chance; with a single
+// slot all callers are.
 const (
-	// returnSlots is the number of slots, and the longest time in seconds until the next
-	// slot of a job. Callers give up after a few seconds.
-	returnSlots = 4
+	// maxSlots is the largest number of slots, and the longest time in seconds until the
+	// next slot of a job. Callers give up after a few seconds.
+	maxSlots = 4
 	// slotTolerance is how long after its slot a caller counts as due: it has been told a
 	// whole number of seconds, and its call takes time.
 	slotTolerance = 300 * time.Millisecond
 )
 
+// slotsFor returns the number of slots over which callers are spread if room is expected
+// after a time: 1, 2 or 4. A slot of four is also one of two, so that a caller stays due
+// when the excess has shrunk meanwhile.
+func slotsFor(room time.Duration) int {
+	slots := 1
+	for slots < maxSlots && time.Duration(slots)*time.Second < room {
+		slots *= 2
+	}
+	return slots
+}
+
 // inSlot reports whether a time is in a slot of the job.
-func inSlot(job string, at time.Time) bool {
-	return uint64(at.Unix())%returnSlots == xxhash.Sum64String(job)%returnSlots
+func inSlot(job string, at time.Time, slots int) bool {
+	return uint64(at.Unix())%uint64(slots) == xxhash.Sum64String(job)%uint64(slots)
 }
 
 // isDue reports whether a caller may have returned because it was told to.
-func isDue(submission Submission) bool {
-	return inSlot(submission.Job.ID, submission.TimeOfDay) ||
-		inSlot(submission.Job.ID, submission.TimeOfDay.Add(-slotTolerance))
+func isDue(submission Submission, slots int) bool {
+	return inSlot(submission.Job.ID, submission.TimeOfDay, slots) ||
+		inSlot(submission.Job.ID, submission.TimeOfDay.Add(-slotTolerance), slots)
 }
 
 // returnDelay returns when a rejected caller should return: in the next slot of the job.
-// Slots spread those who are rejected together over all returnSlots seconds, also when
-// room is expected earlier: with a shorter spread every caller would be due, and none
-// preferred.
-func returnDelay(submission Submission) time.Duration {
+func returnDelay(submission Submission, slots int) time.Duration {
 	for delay := minRetryDelay; delay < maxRetryDelay; delay += time.Second {
-		if inSlot(submission.Job.ID, submission.TimeOfDay.Add(delay)) {
+		if inSlot(submission.Job.ID, submission.TimeOfDay.Add(delay), slots) {
 			return delay
 		}
 	}
--- a/admission/systems.go
+++ b/admission/systems.go
@@ -29,35 +29,26 @@
 	if s.Load.reload {
 		s.Load.reload = false
 		for _, j := range s.Mirror.Jobs.All() {
-			s.Load.applyJob(tick.Now, j, false)
+			s.Load.applyJob(tick.Now, j)
 		}
 	}
-	// Jobs that arrive together after a gap were accepted at unknown times. They are not
-	// counted as sent, which favours their teams.
-	gapless := !s.Load.lastRead.IsZero() && s.Mirror.ReadAt.Sub(s.Load.lastRead) <= maxViewAge
-	s.Load.lastRead = s.Mirror.ReadAt
 	for _, id := range noted {
 		if _, j := s.Mirror.Find(id); j != nil && j.Spec != nil {
-			s.Load.applyJob(tick.Now, j, gapless)
+			s.Load.applyJob(tick.Now, j)
 		} else if row, known := s.Load.jobByID.Get(id); known {
-			s.Load.Jobs.Get(row).mirrored = true // it was, and its records are gone
-			s.Load.deleteJob(tick.Now, row)
+			s.Load.deleteJob(row)
 		}
 	}
 }
 
-// applyJob takes over the state of a mirrored job. sentNow is set if a new job was
-// accepted just now.
-func (l *Load) applyJob(now time.Time, mirrored *ledger.Job, sentNow bool) {
+// applyJob takes over the state of a mirrored job.
+func (l *Load) applyJob(now time.Time, mirrored *ledger.Job) {
 	id, known := l.jobByID.Get(mirrored.ID)
 	if !known {
 		id = l.insertJob(now, mirrored.Spec)
 	}
 	j := l.Jobs.Get(id)
-	j.mirrored, j.held = true, false
-	if !known && sentNow {
-		j.sentAt, j.counted = l.Teams.Get(j.team).sent.add(now), true
-	}
+	j.held = false
 	state := mirrored.State()
 	if j.own && mirrored.Progress != nil {
 		j.own = false
@@ -78,15 +69,14 @@
 	id := l.insertJob(now, spec)
 	j := l.Jobs.Get(id)
 	j.held, j.own = true, true
-	j.sentAt, j.counted = l.Teams.Get(j.team).sent.add(now), true
 	l.setWork(id, remainingWork(spec, nil))
 }
 
 // Release forgets a held submission that this process will not store. Nothing happens if
 // the mirror has it.
-func (l *Load) Release(now time.Time, job string) {
+func (l *Load) Release(job string) {
 	if id, known := l.jobByID.Get(job); known && l.Jobs.Get(id).held {
-		l.deleteJob(now, id)
+		l.deleteJob(id)
 	}
 }
 
--- a/intake/submissions.go
+++ b/intake/submissions.go
@@ -125,7 +125,7 @@
 		if row.requests > 0 || row.writes > 0 || tick.Now.Before(row.unknownUntil) && !s.isKnown(row.job) {
 			continue
 		}
-		s.Admission.Load.Release(tick.Now, row.job)
+		s.Admission.Load.Release(row.job)
 		s.submissionByJob.Delete(row.job)
 		s.submissions.Delete(id)
 	}
