--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -13,8 +13,8 @@
 func (s *State) Backlog(now time.Time) Backlog {
 	var b Backlog
 	for _, p := range s.Pools.All() {
-		for i := range p.ready.stages.Len() {
-			stage := s.Stages.Get(p.ready.stages.At(i))
+		for id := range p.ready.all {
+			stage := s.Stages.Get(id)
 			b.Tasks += stage.ReadyTasks
 			if !now.Before(s.Jobs.Get(stage.Job).Deadline) {
 				b.LateTasks += stage.ReadyTasks
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -192,7 +192,7 @@
 	}
 	s.Out.Writes.Add(write)
 	s.log(events.DemandReported, events.F("pool", p.Name), events.F("need", demand.Need), events.F("have", demand.Have),
-		events.F("released", len(demand.Released)), events.F("reclaimed", len(reclaim)), events.F("waiting_stages", p.ready.stages.Len()),
+		events.F("released", len(demand.Released)), events.F("reclaimed", len(reclaim)), events.F("waiting_stages", p.ready.Len()),
 		events.F("inflow_cores", int(p.workArrivalRate(now))))
 }
 
--- a/dispatch/demand_test.go
+++ b/dispatch/demand_test.go
@@ -259,8 +259,8 @@
 	id, _ := w.s.poolByName.Get("pool")
 	p := w.s.Pools.Get(id)
 	waiting := 0
-	for i := range p.ready.stages.Len() {
-		stage := w.s.Stages.Get(p.ready.stages.At(i))
+	for id := range p.ready.all {
+		stage := w.s.Stages.Get(id)
 		waiting += stage.ReadyTasks * w.s.stepOfStage(stage).Reserved().MilliCores
 	}
 	have := w.s.availableWorkers(w.now, id)
--- a/dispatch/indexes_test.go
+++ b/dispatch/indexes_test.go
@@ -104,6 +104,10 @@
 	w.t.Helper()
 	s := w.s
 	stages, millicores := 0, 0
+	queued := func(id table.ID, stage *Stage) bool {
+		team, ok := p.ready.teamByName.Get(s.Jobs.Get(stage.Job).Spec.Team)
+		return ok && stage.readyQueue == team && p.ready.teams.Get(team).stages.Contains(id)
+	}
 	for stageID, stage := range s.Stages.All() {
 		if s.Jobs.Get(stage.Job).Pool != id {
 			continue
@@ -114,9 +118,12 @@
 				ready++
 			}
 		}
-		if ready != stage.ReadyTasks || (ready > 0) != p.ready.stages.Contains(stageID) {
+		if ready != stage.ReadyTasks || (ready > 0) != queued(stageID, stage) {
 			w.t.Errorf("stage %d of job %s: %d tasks are ready, counted %d, queued %v", stage.Step, s.Jobs.Get(stage.Job).Spec.ID, ready,
-				stage.ReadyTasks, p.ready.stages.Contains(stageID))
+				stage.ReadyTasks, queued(stageID, stage))
+		}
+		if p.ready.overdue.Contains(stageID) && (ready == 0 || w.now.Before(s.Jobs.Get(stage.Job).overdueAt)) {
+			w.t.Errorf("stage %d of job %s is listed as overdue with %d ready tasks", stage.Step, s.Jobs.Get(stage.Job).Spec.ID, ready)
 		}
 		if ready > 0 {
 			stages++
@@ -127,8 +134,12 @@
 			}
 		}
 	}
-	if stages != p.ready.stages.Len() || millicores != p.ready.millicores+p.ready.lateMillicores {
+	listed := 0
+	for range p.ready.all {
+		listed++
+	}
+	if stages != p.ready.Len() || stages != listed || millicores != p.ready.millicores+p.ready.lateMillicores {
 		w.t.Errorf("pool %s: %d ready stages with %d millicores, counted %d with %d and %d", p.Name, stages, millicores,
-			p.ready.stages.Len(), p.ready.millicores, p.ready.lateMillicores)
+			p.ready.Len(), p.ready.millicores, p.ready.lateMillicores)
 	}
 }
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -61,7 +61,9 @@
 		p := s.Pools.Get(poolID)
 		p.longRunningJobs = append(p.longRunningJobs, id)
 	}
-	s.setDeadline(tick, s.Jobs.Get(id))
+	j := s.Jobs.Get(id)
+	s.setDeadline(tick, j)
+	j.excess = s.beyondWeight(tick.Now, s.Pools.Get(poolID), j)
 	if l.Progress != nil {
 		s.restoreOccurrences(tick, id, l.Progress)
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -35,6 +35,8 @@
 	// dataLocalityWait is how long a ready task waits for capacity in the rack
 	// that holds its data.
 	dataLocalityWait = 400 * time.Millisecond
+	// worthlessAfter is how many times its objective after the deadline a job stops to earn.
+	worthlessAfter = 2
 )
 
 // setDeadline derives the deadline, the remaining times and the value density of
@@ -58,6 +60,7 @@
 	}
 	allowed := time.Duration(max(1, j.Spec.Limits.SlowdownFactor)*float64(criticalPath)) + j.Spec.Limits.Latency
 	j.Deadline = tick.Now.Add(allowed - age)
+	j.overdueAt = j.Deadline.Add(worthlessAfter * allowed)
 	j.remainingTime = make([]time.Duration, len(j.Spec.Steps))
 	for i := len(j.remainingTime) - 1; i >= 0; i-- {
 		j.remainingTime[i] += j.Spec.Steps[i].Estimate
@@ -83,7 +86,7 @@
 		if !tick.Now.Before(p.retriedAt.Add(placementRetryInterval)) {
 			p.retriedAt, p.placementNeeded = tick.Now, true
 		}
-		if p.placementNeeded && p.ready.stages.Len() > 0 {
+		if p.placementNeeded && p.ready.Len() > 0 {
 			s.placePool(tick, id)
 			p.placedAt = tick.Now
 		}
@@ -98,6 +101,8 @@
 	w        *Worker
 	free     placement.Resources
 	reserved bool // for a task on probation
+	// reservedFor is the only stage that may start on the worker; 0 for any.
+	reservedFor table.ID
 }
 
 func (s *State) candidates(tick engine.Tick, pool table.ID) []candidate {
@@ -112,7 +117,11 @@
 }
 
 func (s *State) newCandidate(now time.Time, id table.ID, w *Worker) candidate {
-	return candidate{id: id, w: w, free: w.Capacity.Sub(w.used), reserved: now.Before(w.reservedUntil)}
+	c := candidate{id: id, w: w, free: w.Capacity.Sub(w.used), reserved: now.Before(w.reservedUntil)}
+	if w.reservedFor != 0 && now.Before(w.reservedForUntil) && s.isReady(w.reservedFor) {
+		c.reservedFor = w.reservedFor
+	}
+	return c
 }
 
 func stepOf(s *State, t *Task) *work.Step {
@@ -142,22 +151,31 @@
 	for i := range candidates {
 		p.startBudget -= candidates[i].w.load.starts
 	}
+	s.placeOverdue(tick, poolID, candidates)
+	s.beginTurns(poolID)
 	largest := largestFree(candidates)
 	exact := placement.Resources{MilliCores: math.MaxInt, MemoryMB: math.MaxInt, Accelerators: math.MaxInt}
-	for i := 0; i < p.ready.stages.Len(); {
+	for {
 		if p.startBudget <= 0 || !p.ready.smallest.Fits(largest) {
 			return
 		}
+		team := p.ready.nextTurn()
+		if team == nil {
+			break
+		}
 		s.visitedIndexed++
-		stageID := p.ready.stages.At(i)
+		stageID := team.stages.At(team.next)
 		size := s.stepOfStage(s.Stages.Get(stageID)).Reserved()
-		if size.Fits(largest) && s.placeStage(tick, poolID, stageID, candidates) {
+		started := size.Fits(largest) && s.placeStage(tick, poolID, stageID, candidates)
+		if started {
 			largest = largestFree(candidates)
 		}
-		if i < p.ready.stages.Len() && p.ready.stages.At(i) == stageID {
+		interrupted := started && s.turnOver(p, team.team, placement.Resources{})
+		if !interrupted && team.next < team.stages.Len() && team.stages.At(team.next) == stageID {
 			exact = smallestOf(exact, size)
-			i++
+			team.next++
 		}
+		s.endTurn(p, team)
 	}
 	p.ready.smallest = exact
 }
@@ -217,6 +235,9 @@
 			continue
 		}
 		s.startTask(tick, p, taskID, &candidates[best], 0)
+		if s.turnOver(p, j.Spec.Team, step.Size) {
+			break
+		}
 	}
 	return stage.ReadyTasks < waiting
 }
@@ -285,6 +306,8 @@
 		return false
 	case !s.allows(now, c, step, t):
 		return false
+	case c.reservedFor != 0 && c.reservedFor != t.Stage:
+		return false
 	case rack != "" && c.w.Rack != rack:
 		return false
 	case step.Label != "" && !slices.Contains(c.w.Labels, step.Label):
@@ -440,6 +463,7 @@
 		s.markDirty(stage.Job, tick.Now) // a next owner must know of this run
 	}
 	p.startBudget--
+	p.ready.startsSinceOverdue = min(p.ready.startsSinceOverdue+1, maxStartsInFlight)
 	s.Out.Starts.Add(order)
 	s.count("starts")
 	s.log(events.RunOrdered, events.F("task", name.String()), events.F("run", number), events.F("worker", c.w.ID),
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -102,6 +102,7 @@
 func loadJobs(s *State, tick engine.Tick) {
 	changed := append(s.Mirror.TakeChanged(), s.awaitingWatch...)
 	s.awaitingWatch = nil
+	s.countTeamJobs(tick.Now, changed)
 	for id, p := range s.Pools.All() {
 		if p.Loaded || !s.Mirror.Synced || s.Mirror.Revision < p.Token {
 			continue
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -116,7 +116,7 @@
 		second := step(1 + s.random.Intn(3))
 		second.After = []int{0}
 		j := job(step(1+s.random.Intn(3)), second)
-		j.ID = fmt.Sprintf("j%d", s.jobs)
+		j.ID, j.Team = fmt.Sprintf("j%d", s.jobs), []string{"", "a", "b"}[s.jobs%3]
 		s.accept(j)
 	}
 }
@@ -131,6 +131,8 @@
 	properties.Property("no task runs twice and all jobs complete", prop.ForAll(func(seed int64) string {
 		s := &faultSimulation{simulation: newSimulation(t, "a", "b", "c"), random: rand.New(rand.NewSource(seed))}
 		s.intercept, s.observe = s.startLater, s.checkStart
+		weights := map[string]float64{"a": 1, "b": 2}
+		s.s.Team = func(name string) *work.Team { return &work.Team{Name: name, Weight: weights[name]} }
 		s.run(200 * time.Millisecond)
 		for range 400 {
 			s.run(simulationStep * time.Duration(1+s.random.Intn(10)))
--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -12,7 +12,22 @@
 // change moves only the stage that it concerns: sorting all of them again slows an owner
 // down the more, the longer its queue has become.
 type readyQueue struct {
-	stages table.Sorted[readyOrder]
+	teams      table.Table[teamQueue]
+	teamByName table.Index[string]
+	count      int // stages of all teams
+	// shared is set once the pool has had a job of a team. Until then the order is that of
+	// a single queue and nothing is computed about shares.
+	shared bool
+	// turns orders the teams during a placement, in which a turn ends at the weighted use
+	// limit. capacity is that of the pool, and unownedUse what jobs without a team use.
+	turns                table.Heap[turn]
+	limit                float64
+	capacity, unownedUse placement.Resources
+	// overdue holds the stages that have waited beyond their bound, by the time of their
+	// next turn.
+	overdue            table.Heap[time.Time]
+	startsSinceOverdue int
+	reservedUntil      time.Time
 	// changes holds the time at which the place of a stage changes next.
 	changes table.Heap[time.Time]
 	// millicores and lateMillicores are those of the ready tasks of jobs before and
@@ -32,13 +47,24 @@
 	rankLate
 )
 
-// readyOrder is the place of a stage in the placement order: long-running stages come
+// readyClass is the first part of the placement order. Teams share a pool within a class.
+type readyClass struct {
+	rank     rank
+	priority int
+	excess   bool // the job is beyond what its team is owed
+}
+
+// Compare implements table.Priority.
+func (c readyClass) Compare(other readyClass) int {
+	return cmp.Or(cmp.Compare(c.rank, other.rank), cmp.Compare(c.priority, other.priority), compareTrueFirst(other.excess, c.excess))
+}
+
+// readyOrder is the place of a stage among those of its team: long-running stages come
 // first, then jobs that can still meet their deadline, and then all others. Within each
-// group the queue's priority decides, then the earliest deadline for jobs that can meet
+// group the queue's priority decides, then whether the team is owed the job, then the earliest deadline for jobs that can meet
 // it, and the highest value density, that is the least work, for the others.
 type readyOrder struct {
-	rank     rank
-	priority int
+	class    readyClass
 	deadline int64 // Unix nanoseconds, or 0 where the density decides
 	density  float64
 	stage    table.ID
@@ -46,7 +72,7 @@
 
 // Compare implements table.Priority.
 func (o readyOrder) Compare(other readyOrder) int {
-	return cmp.Or(cmp.Compare(o.rank, other.rank), cmp.Compare(o.priority, other.priority), cmp.Compare(o.deadline, other.deadline),
+	return cmp.Or(o.class.Compare(other.class), cmp.Compare(o.deadline, other.deadline),
 		cmp.Compare(other.density, o.density), cmp.Compare(o.stage, other.stage))
 }
 
@@ -59,7 +85,7 @@
 	}
 	s.countReady(p, stage, n)
 	if stage.ReadyTasks == 0 {
-		p.ready.remove(id)
+		p.ready.remove(stage, id)
 	}
 }
 
@@ -71,12 +97,24 @@
 		return
 	}
 	s.countReady(p, stage, -stage.ReadyTasks)
-	p.ready.remove(id)
+	p.ready.remove(stage, id)
+}
+
+// put puts a stage at its place among the stages of its team.
+func (q *readyQueue) put(stage *Stage, id table.ID, team string, order readyOrder) {
+	if stage.readyQueue == 0 {
+		stage.readyQueue = q.queueOf(team)
+		q.count++
+	}
+	q.teams.Get(stage.readyQueue).stages.Put(id, order)
 }
 
-func (q *readyQueue) remove(id table.ID) {
-	q.stages.Remove(id)
+func (q *readyQueue) remove(stage *Stage, id table.ID) {
+	q.teams.Get(stage.readyQueue).stages.Remove(id)
 	q.changes.Remove(id)
+	q.overdue.Remove(id)
+	stage.readyQueue = 0
+	q.count--
 }
 
 func (s *State) countReady(p *Pool, stage *Stage, n int) {
@@ -95,24 +133,32 @@
 	j := s.Jobs.Get(stage.Job)
 	step := &j.Spec.Steps[stage.Step]
 	lateFrom := j.Deadline.Add(-time.Duration(estimateMargin * float64(j.remainingTime[stage.Step])))
-	order := readyOrder{rank: rankLate, priority: j.Spec.Limits.Priority, density: j.ValueDensity, stage: id}
+	order := readyOrder{
+		class:   readyClass{rank: rankLate, priority: j.Spec.Limits.Priority, excess: j.excess},
+		density: j.ValueDensity, stage: id,
+	}
 	switch {
 	case step.LongRunning:
-		order.rank = rankLongRunning
+		order.class.rank = rankLongRunning
 	case now.Before(lateFrom):
-		order.rank, order.deadline, order.density = rankInTime, j.Deadline.UnixNano(), 0
+		order.class.rank, order.deadline, order.density = rankInTime, j.Deadline.UnixNano(), 0
 	}
 	stage.late = !now.Before(j.Deadline)
-	p.ready.stages.Put(id, order)
-	if p.ready.stages.Len() == 1 {
+	p.ready.put(stage, id, j.Spec.Team, order)
+	if p.ready.Len() == 1 {
 		p.ready.smallest = step.Reserved()
 	}
 	p.ready.smallest = smallestOf(p.ready.smallest, step.Reserved())
 	switch {
-	case order.rank == rankInTime:
+	case order.class.rank == rankInTime:
 		p.ready.changes.Put(id, lateFrom)
 	case !stage.late:
 		p.ready.changes.Put(id, j.Deadline)
+	case !p.ready.shared:
+	case now.Before(j.overdueAt):
+		p.ready.changes.Put(id, j.overdueAt)
+	case !p.ready.overdue.Contains(id):
+		p.ready.overdue.Put(id, now)
 	}
 }
 
--- a/dispatch/stranded.go
+++ b/dispatch/stranded.go
@@ -27,7 +27,7 @@
 // reclaims them is stored.
 func (s *State) keepForWaitingStages(tick engine.Tick, p *Pool, have, reclaim []table.ID) []table.ID {
 	isSurplus := func(id table.ID) bool { return s.Workers.Get(id).surplus }
-	if p.ready.stages.Len() == 0 || !slices.ContainsFunc(have, isSurplus) {
+	if p.ready.Len() == 0 || !slices.ContainsFunc(have, isSurplus) {
 		return reclaim
 	}
 	var kept, surplus []candidate
@@ -41,9 +41,11 @@
 			kept = append(kept, s.newCandidate(tick.Now, id, w))
 		}
 	}
-	for i := 0; i < min(p.ready.stages.Len(), maxStrandedStages) && len(surplus) > 0; i++ {
+	for _, stageID := range p.ready.first(maxStrandedStages) {
+		if len(surplus) == 0 {
+			break
+		}
 		s.visitedIndexed++
-		stageID := p.ready.stages.At(i)
 		for _, id := range s.missingWorkers(tick, p, stageID, kept, surplus) {
 			at := slices.IndexFunc(surplus, func(c candidate) bool { return c.id == id })
 			w := surplus[at].w
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -80,6 +80,8 @@
 	ValueDensity float64       // benefit per unit of work; orders jobs of equal urgency
 	Work         float64       // estimated core-seconds
 
+	excess        bool            // beyond what its team is owed
+	overdueAt     time.Time       // from then on the job earns nothing, and other jobs pass it over only so often
 	remainingTime []time.Duration // by step: estimated time from its start to the end of the job
 	// occurrences holds the rows of the occurrences in the tables, by number. The others
 	// are finished or not due yet; every one below nextOccurrence is in the tables or
@@ -133,6 +135,7 @@
 	DoneTasks         int
 	Tasks             []table.ID
 	ReadyTasks        int              // tasks that wait for placement
+	readyQueue        table.ID         // queue of its team among the ready stages; 0 without ready tasks
 	late              bool             // the job has passed its deadline, as far as the ready queue knows
 	perWorker         map[table.ID]int // tasks of the stage that may run, by worker
 	tickets           map[string]ticket
@@ -269,6 +272,9 @@
 	lapsedAt time.Time
 	// reservedUntil keeps starts off the worker, except those of tasks on probation.
 	reservedUntil time.Time
+	// reservedFor is an overdue stage for which other starts are kept off the worker.
+	reservedFor      table.ID
+	reservedForUntil time.Time
 
 	noStartsUntil      time.Time
 	quarantinedUntil   time.Time
@@ -416,6 +422,10 @@
 	// finishedOccurrences are those of which nothing runs and that are saved as finished.
 	finishedOccurrences []table.ID
 
+	// teamJobs counts the recent jobs of each team in all partitions, up to countedRevision.
+	teamJobs        map[string]decayingCount
+	countedRevision int64
+
 	pollQueue      table.Heap[time.Time] // workers of owned pools without a poll in flight, by the time of the next one
 	leaseChecks    table.Heap[time.Time] // workers with runs, by the time at which their leases may have expired
 	unsettled      table.Set             // workers of owned pools that left the registry or whose runs were given up
@@ -441,7 +451,7 @@
 func New(config Config, jobs *ledger.JobMirror, nextWrite func() uint64, timeOfDay func() time.Time) *State {
 	return &State{
 		IsPool: func(string) bool { return true }, Team: func(string) *work.Team { return nil }, Config: config, Mirror: jobs, NextWrite: nextWrite, TimeOfDay: timeOfDay,
-		underMaintenance: map[string]bool{}, storedContacts: map[string]ledger.Record{}, latestIncarnation: map[string]int64{}, pendingWrites: map[uint64]pendingWrite{},
+		underMaintenance: map[string]bool{}, storedContacts: map[string]ledger.Record{}, latestIncarnation: map[string]int64{}, pendingWrites: map[uint64]pendingWrite{}, teamJobs: map[string]decayingCount{},
 	}
 }
 
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -120,6 +120,7 @@
 	WorkerUnfitCapped        = Event{846, log.WarnLevel, "worker with failures stays in service because the cap on exclusions is reached"}
 	WorkerCrashed            = Event{847, log.WarnLevel, "worker crashed with runs"}
 	TaskGivenUp              = Event{848, log.WarnLevel, "task crashed its workers and was given up"}
+	WorkersReserved          = Event{871, log.InfoLevel, "workers were reserved for an overdue stage"}
 	MaintenanceWaveRequested = Event{850, log.InfoLevel, "maintenance wave was requested"}
 	MachineChosen            = Event{851, log.InfoLevel, "machine was chosen for maintenance"}
 	MaintenanceOrdered       = Event{852, log.InfoLevel, "maintenance of a machine was ordered"}
@@ -161,7 +162,7 @@
 		PoolReconciled, WorkFinished, ProgressNotSaved, DemandNotSaved, DemandReported, RunOrdered, StartRefused, RunEnded,
 		RunAbandoned, RunAdopted, RunStopOrdered, RunStalled, BestEffortSpeedChanged, AdviceAnswered,
 		WorkerDraining, WorkerUnregistered, WorkerIncarnationEnded, WorkerLeasesExpired, OrderFenced, WorkerUnfit,
-		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
+		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, WorkersReserved, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
 		MachinesUnavailable, MaintenanceNotSaved, PoolsDivided, ManifestInForce, StoreEntryInvalid, LeaseCallFailed, SettingsReloaded,
 		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, StoreReadInFull, WorkerKept, MachineMovePlanned, MachineMoveOrdered,
 	}
--- a/table/sorted.go
+++ b/table/sorted.go
@@ -18,6 +18,9 @@
 // At returns the row at position i, which must be below Len.
 func (s *Sorted[P]) At(i int) ID { return s.items[i].id }
 
+// PriorityAt returns the priority of the row at position i, which must be below Len.
+func (s *Sorted[P]) PriorityAt(i int) P { return s.items[i].priority }
+
 // Contains reports whether the row is present.
 func (s *Sorted[P]) Contains(id ID) bool {
 	_, ok := s.keys[id]
