--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -83,6 +83,7 @@
 			continue
 		}
 		s.updateReadyOrder(tick.Now, p)
+		s.checkOverload(tick.Now, id, p)
 		if !tick.Now.Before(p.retriedAt.Add(placementRetryInterval)) {
 			p.retriedAt, p.placementNeeded = tick.Now, true
 		}
--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -28,6 +28,10 @@
 	overdue            table.Heap[time.Time]
 	startsSinceOverdue int
 	reservedUntil      time.Time
+	// overloaded is set while not all jobs that can be in time have room.
+	overloaded        bool
+	overloadCheckAt   time.Time
+	overloadChangedAt time.Time
 	// changes holds the time at which the place of a stage changes next.
 	changes table.Heap[time.Time]
 	// millicores and lateMillicores are those of the ready tasks of jobs before and
@@ -45,6 +49,7 @@
 	rankLongRunning rank = iota
 	rankInTime           // the job can still meet its deadline
 	rankLate
+	rankWorthless // the job earns nothing any more
 )
 
 // readyClass is the first part of the placement order. Teams share a pool within a class.
@@ -100,15 +105,6 @@
 	p.ready.remove(stage, id)
 }
 
-// put puts a stage at its place among the stages of its team.
-func (q *readyQueue) put(stage *Stage, id table.ID, team string, order readyOrder) {
-	if stage.readyQueue == 0 {
-		stage.readyQueue = q.queueOf(team)
-		q.count++
-	}
-	q.teams.Get(stage.readyQueue).stages.Put(id, order)
-}
-
 func (q *readyQueue) remove(stage *Stage, id table.ID) {
 	q.teams.Get(stage.readyQueue).stages.Remove(id)
 	q.changes.Remove(id)
@@ -132,19 +128,33 @@
 	stage := s.Stages.Get(id)
 	j := s.Jobs.Get(stage.Job)
 	step := &j.Spec.Steps[stage.Step]
-	lateFrom := j.Deadline.Add(-time.Duration(estimateMargin * float64(j.remainingTime[stage.Step])))
+	if stage.readyQueue == 0 {
+		stage.readyQueue = p.ready.queueOf(j.Spec.Team)
+		p.ready.count++
+	}
+	if p.ready.shared && j.workLeft == nil {
+		s.setWorth(j)
+	}
+	lateFrom, worthlessFrom := s.lateFrom(j, stage.Step), j.overdueAt.Add(-j.remainingTime[stage.Step])
 	order := readyOrder{
 		class:   readyClass{rank: rankLate, priority: j.Spec.Limits.Priority, excess: j.excess},
 		density: j.ValueDensity, stage: id,
 	}
+	if p.ready.shared {
+		order.density = j.worth / max(0.001, j.workLeft[stage.Step])
+	}
 	switch {
 	case step.LongRunning:
 		order.class.rank = rankLongRunning
+	case now.Before(lateFrom) && p.ready.overloaded:
+		order.class.rank = rankInTime
 	case now.Before(lateFrom):
 		order.class.rank, order.deadline, order.density = rankInTime, j.Deadline.UnixNano(), 0
+	case p.ready.shared && !now.Before(worthlessFrom):
+		order.class.rank, order.deadline, order.density = rankWorthless, j.Deadline.UnixNano(), 0
 	}
 	stage.late = !now.Before(j.Deadline)
-	p.ready.put(stage, id, j.Spec.Team, order)
+	p.ready.teams.Get(stage.readyQueue).stages.Put(id, order)
 	if p.ready.Len() == 1 {
 		p.ready.smallest = step.Reserved()
 	}
@@ -155,13 +165,18 @@
 	case !stage.late:
 		p.ready.changes.Put(id, j.Deadline)
 	case !p.ready.shared:
-	case now.Before(j.overdueAt):
-		p.ready.changes.Put(id, j.overdueAt)
+	case now.Before(worthlessFrom):
+		p.ready.changes.Put(id, worthlessFrom)
 	case !p.ready.overdue.Contains(id):
 		p.ready.overdue.Put(id, now)
 	}
 }
 
+// lateFrom returns when a job becomes late unless a step starts before.
+func (s *State) lateFrom(j *Job, step int) time.Time {
+	return j.Deadline.Add(-time.Duration(estimateMargin * float64(j.remainingTime[step])))
+}
+
 // updateReadyOrder moves the stages whose jobs have become late.
 func (s *State) updateReadyOrder(now time.Time, p *Pool) {
 	for {
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -82,6 +82,8 @@
 
 	excess        bool            // beyond what its team is owed
 	overdueAt     time.Time       // from then on the job earns nothing, and other jobs pass it over only so often
+	worth         float64         // benefit if it is in time, against the mean of its kind
+	workLeft      []float64       // by step: core-seconds of the step and of those that depend on it
 	remainingTime []time.Duration // by step: estimated time from its start to the end of the job
 	// occurrences holds the rows of the occurrences in the tables, by number. The others
 	// are finished or not due yet; every one below nextOccurrence is in the tables or
@@ -426,6 +428,9 @@
 	teamJobs        map[string]decayingCount
 	countedRevision int64
 
+	kinds       table.Table[jobKind]
+	kindByQueue table.Index[string]
+
 	pollQueue      table.Heap[time.Time] // workers of owned pools without a poll in flight, by the time of the next one
 	leaseChecks    table.Heap[time.Time] // workers with runs, by the time at which their leases may have expired
 	unsettled      table.Set             // workers of owned pools that left the registry or whose runs were given up
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -53,6 +53,7 @@
 	workers   map[string]*fakeWorker
 	token     int64
 	runTime   time.Duration
+	runTimeOf func(StartOrder) time.Duration // replaces runTime
 	saved     map[string]*work.Progress
 	storeDown bool // the store applies no write, and each has an unknown result
 	// intercept may answer a start in place of the worker; observe is called for
@@ -235,6 +236,9 @@
 	if w.runTime > 0 {
 		r.done = w.now.Add(w.runTime)
 	}
+	if w.runTimeOf != nil {
+		r.done = w.now.Add(w.runTimeOf(o))
+	}
 	f.running = append(f.running, r)
 	f.started = append(f.started, o.Task)
 	if w.observe != nil {
