--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -6,7 +6,6 @@
 
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/table"
-	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
 // Order under overload: which jobs are to be in time when there isn't room for all. See
@@ -78,18 +77,19 @@
 	}
 	kind := s.kinds.Get(id)
 	kind.add(j.Work)
-	j.worth, j.workLeft = kind.worth(j.Work), workByStep(j.Spec.Steps)
+	j.worth, j.workLeft = kind.worth(j.Work), j.workByStep()
 }
 
-// workByStep returns, for each step, its core-seconds and those of all steps that depend
-// on it.
-func workByStep(steps []work.Step) []float64 {
+// workByStep returns, for each step, its expected core-seconds and those of all steps that
+// depend on it.
+func (j *Job) workByStep() []float64 {
+	steps := j.Spec.Steps
 	left := make([]float64, len(steps))
 	dependents := make([]map[int]bool, len(steps))
 	for i := len(steps) - 1; i >= 0; i-- {
-		left[i] += stepWork(&steps[i])
+		left[i] += j.stepWork(i)
 		for after := range dependents[i] {
-			left[i] += stepWork(&steps[after])
+			left[i] += j.stepWork(after)
 		}
 		for _, before := range steps[i].After {
 			if dependents[before] == nil {
@@ -104,10 +104,6 @@
 	return left
 }
 
-func stepWork(step *work.Step) float64 {
-	return float64(step.Count) * step.Estimate.Seconds() * float64(step.Reserved().MilliCores) / 1000
-}
-
 // checkOverload decides whether the in-time stages of a pool go by deadline or, since not
 // all can be in time, by benefit per core-second.
 func (s *State) checkOverload(now time.Time, poolID table.ID, p *Pool) {
@@ -146,7 +142,7 @@
 		if j.workLeft != nil && now.Before(s.lateFrom(j, stage.Step)) && !j.Spec.Steps[stage.Step].LongRunning {
 			inTime = append(inTime, id)
 			done := float64(len(stage.Tasks)-stage.ReadyTasks) / float64(len(stage.Tasks))
-			load.add(j.Deadline.Sub(now), j.workLeft[stage.Step]-done*stepWork(&j.Spec.Steps[stage.Step]))
+			load.add(j.Deadline.Sub(now), j.workLeft[stage.Step]-done*j.stepWork(stage.Step))
 		}
 	}
 	slices.Sort(inTime)
@@ -157,8 +153,8 @@
 			if t == nil || run.longRunning || run.bestEffort {
 				continue
 			}
-			_, j, step := s.stageJobAndStep(t)
-			left := step.Estimate - now.Sub(run.OrderedAt)
+			_, j, _ := s.stageJobAndStep(t)
+			left := j.expected(run.Name.Step) - now.Sub(run.OrderedAt)
 			load.add(max(left, j.Deadline.Sub(now)), max(0, left).Seconds()*float64(run.Size.MilliCores)/1000)
 		}
 	}
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingbridge/waxwingbridge/estimate"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/work"
 )
@@ -32,6 +33,8 @@
 // by which estimates are off.
 type uneven struct {
 	mean, estimateError float64
+	bias                [3]float64 // by step: mean ratio of true to declared run times; 0 for 1
+	learnsNothing       bool
 }
 
 // runUneven sends jobs of three kinds at 4 to 5 times the mean for 4 s and a twentieth of it
@@ -47,6 +50,9 @@
 		w.addWorker(fmt.Sprintf("w%d", i))
 	}
 	w.run(200 * time.Millisecond)
+	if load.learnsNothing {
+		w.pool().runTimes = estimate.NewRunTimes(0, 0)
+	}
 	accepted, done := map[string]*work.Job{}, map[string]time.Duration{}
 	runTimes := map[work.TaskName]time.Duration{}
 	w.runTimeOf = func(o StartOrder) time.Duration { return runTimes[o.Task] }
@@ -65,7 +71,11 @@
 			if i > 0 {
 				s.After = []int{i - 1}
 			}
-			off := 1 + load.estimateError*(2*random.Float64()-1)
+			off := 1.0
+			if load.bias[i] > 0 {
+				off = load.bias[i]
+			}
+			off *= 1 + load.estimateError*(2*random.Float64()-1)
 			for index := range s.Count {
 				spread := 0.8 + 0.4*random.Float64()
 				runTimes[work.TaskName{Job: j.ID, Step: i, Index: index}] = time.Duration(off * spread * float64(s.Estimate))
@@ -115,7 +125,7 @@
 func jobWork(j *work.Job) float64 {
 	sum := 0.0
 	for i := range j.Steps {
-		sum += stepWork(&j.Steps[i])
+		sum += (&Job{Spec: j}).stepWork(i)
 	}
 	return sum
 }
@@ -169,7 +179,7 @@
 // tuned on. Beside it the former rule.
 func TestMoreJobsAreInTimeUnderOverload(t *testing.T) {
 	var present, former overloadResult
-	for _, load := range []uneven{{0.45, 0.9}, {0.7, 0.5}, {1, 0.5}} {
+	for _, load := range []uneven{{mean: 0.45, estimateError: 0.9}, {mean: 0.7, estimateError: 0.5}, {mean: 1, estimateError: 0.5}} {
 		var a, b overloadResult
 		for seed := int64(301); seed <= 306; seed++ {
 			a.add(runUneven(t, seed, load, true))
@@ -222,7 +232,7 @@
 	diamond := []work.Step{step(2), step(4), step(4), step(2)} // 0.15 core-seconds a task
 	diamond[1].After, diamond[2].After, diamond[3].After = []int{0}, []int{0}, []int{1, 2}
 	for i, want := range []float64{1.8, 0.9, 0.9, 0.3} {
-		if got := workByStep(diamond)[i]; math.Abs(got-want) > 0.001 {
+		if got := (&Job{Spec: job(diamond...)}).workByStep()[i]; math.Abs(got-want) > 0.001 {
 			t.Errorf("%.2f core-seconds are left from step %d on, want %.2f", got, i, want)
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -40,8 +40,10 @@
 )
 
 // setDeadline derives the deadline, the remaining times and the value density of
-// a job from its steps and limits.
+// a job from its steps and limits. The objective follows from the declared run times, what
+// is left to do from the expected ones.
 func (s *State) setDeadline(tick engine.Tick, j *Job) {
+	s.setExpectedTimes(tick.Now, j)
 	pathLength := make([]time.Duration, len(j.Spec.Steps))
 	var criticalPath time.Duration
 	workload := 0.0 // core-seconds
@@ -52,7 +54,7 @@
 		}
 		pathLength[i] += step.Estimate
 		criticalPath = max(criticalPath, pathLength[i])
-		workload += float64(step.Count) * step.Estimate.Seconds() * float64(step.Reserved().MilliCores) / 1000
+		workload += j.stepWork(i)
 	}
 	age := s.TimeOfDay().Sub(j.Spec.AcceptedAt)
 	if age < 0 || age > time.Hour {
@@ -63,7 +65,7 @@
 	j.overdueAt = j.Deadline.Add(worthlessAfter * allowed)
 	j.remainingTime = make([]time.Duration, len(j.Spec.Steps))
 	for i := len(j.remainingTime) - 1; i >= 0; i-- {
-		j.remainingTime[i] += j.Spec.Steps[i].Estimate
+		j.remainingTime[i] += j.expected(i)
 		for _, before := range j.Spec.Steps[i].After {
 			j.remainingTime[before] = max(j.remainingTime[before], j.remainingTime[i])
 		}
@@ -457,7 +459,7 @@
 	c.w.leaseUntil = max(c.w.leaseUntil, order.LeaseUntil)
 	order.Run = s.insertRun(Run{
 		Task: taskID, Name: name, Number: number, Worker: c.id, State: RunOrdered, OrderedAt: tick.Now, Size: size,
-		progressAt: tick.Now, speed: fullSpeed,
+		progressAt: tick.Now, speed: fullSpeed, restored: t.Checkpoint != "",
 	})
 	c.free = c.free.Sub(size)
 	if t.isSuspect() {
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
+	"github.com/waxwingbridge/waxwingbridge/estimate"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -31,7 +32,7 @@
 		known = false
 	}
 	if !known {
-		id = s.Pools.Insert(Pool{Name: name, Token: token, Epoch: epoch, OwnedSince: now})
+		id = s.Pools.Insert(Pool{Name: name, Token: token, Epoch: epoch, OwnedSince: now, runTimes: estimate.NewRunTimes(maxLearntSteps, maxLearntImages)})
 		s.poolByName.Put(name, id)
 		s.log(events.PoolOwned, events.F("pool", name), events.F("token", token), events.F("epoch", epoch))
 	}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -96,6 +96,7 @@
 	case StartAccepted:
 		s.setRunState(run, RunConfirmed)
 		run.workerClock, run.progressAt, run.startedAt = reading.Clock, tick.Now, tick.Now
+		run.startClock = reading.Clock
 		if run.Task != 0 {
 			s.markJobStarted(tick.Now, run.Task)
 		}
@@ -203,6 +204,9 @@
 	if status.Percent != run.percent {
 		run.percent, run.progressAt = status.Percent, tick.Now
 	}
+	if run.firstClock == 0 {
+		run.firstClock, run.firstPercent = clock, status.Percent
+	}
 	run.load = status.Load
 	t := s.Tasks.Get(run.Task)
 	if t == nil {
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/waxwingbridge/waxwingbridge/estimate"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/placement"
@@ -46,6 +47,7 @@
 	nextSaveAt          time.Time
 	unsavedJobs         table.Heap[time.Time] // changed jobs without a write in flight, by the time of their save
 	ready               readyQueue
+	runTimes            *estimate.RunTimes // learnt by this owner
 	placedAt            time.Time
 	retriedAt           time.Time // last placement that no change called for
 	lastSweepAt         time.Time
@@ -82,6 +84,7 @@
 
 	excess        bool            // beyond what its team is owed
 	overdueAt     time.Time       // from then on the job earns nothing, and other jobs pass it over only so often
+	expectedTimes []time.Duration // by step: expected run time of a task; nil for the declared ones
 	worth         float64         // benefit if it is in time, against the mean of its kind
 	workLeft      []float64       // by step: core-seconds of the step and of those that depend on it
 	remainingTime []time.Duration // by step: estimated time from its start to the end of the job
@@ -225,6 +228,11 @@
 	stopAnswerClock time.Duration // the worker's clock when it answered a stop; 0 before that
 	stopAnswered    bool
 	startedAt       time.Time // when the first proof of the run arrived
+	// startClock is the worker's clock in the answer that accepted the start; 0 if there
+	// was none. firstClock and firstPercent are from the first list with the run.
+	startClock, firstClock time.Duration
+	firstPercent           int
+	restored               bool // it began with a checkpoint
 	// brokenOff reports that the connection ended right after the start was ordered,
 	// as when the run crashes its worker before that can answer.
 	brokenOff bool
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -340,6 +340,9 @@
 		s.setCheckpoint(t, end.Checkpoint)
 	}
 	if ended != 0 {
+		if end.Reason == work.EndDone {
+			s.observeRunTime(tick.Now, ended)
+		}
 		s.removeRun(ended)
 	}
 	if t == nil {
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -24,6 +24,7 @@
 	task work.TaskName
 	run  int
 	done time.Time // zero: never ends
+	from time.Time // with runTimeOf: begin of the run, from which its progress follows
 }
 
 // fakeWorker executes orders like a worker of the platform.
@@ -39,6 +40,7 @@
 	stopped     map[work.TaskName]int
 	started     []work.TaskName // tasks of all accepted starts
 	fails       bool            // all runs end with a failure
+	slowness    float64         // with runTimeOf: factor by which runs take longer; 0 for 1
 }
 
 // simulation connects the state of one owner with fake workers and a store that
@@ -237,7 +239,7 @@
 		r.done = w.now.Add(w.runTime)
 	}
 	if w.runTimeOf != nil {
-		r.done = w.now.Add(w.runTimeOf(o))
+		r.from, r.done = w.now, w.now.Add(time.Duration(max(1, f.slowness)*float64(w.runTimeOf(o))))
 	}
 	f.running = append(f.running, r)
 	f.started = append(f.started, o.Task)
@@ -267,7 +269,11 @@
 	f.ended = slices.DeleteFunc(f.ended, func(e work.RunEnd) bool { return e.Number <= o.Acknowledged })
 	var running []work.RunStatus
 	for _, r := range f.running {
-		running = append(running, work.RunStatus{Task: r.task, Run: r.run, Percent: servingPercent})
+		percent := servingPercent
+		if !r.from.IsZero() {
+			percent = int(100 * w.now.Sub(r.from) / r.done.Sub(r.from))
+		}
+		running = append(running, work.RunStatus{Task: r.task, Run: r.run, Percent: percent})
 	}
 	w.s.Polled(tick, o.Target, PollAnswered, f.reading(w.now), running, slices.Clone(f.ended))
 }
--- a/table/index.go
+++ b/table/index.go
@@ -1,6 +1,10 @@
 package table
 
-import "slices"
+import (
+	"iter"
+	"maps"
+	"slices"
+)
 
 // Index maps a unique key to the ID of its row. It is not updated by the table:
 // the code that changes the table must update it. The zero value is an empty
@@ -26,6 +30,9 @@
 // Delete removes the binding of the key.
 func (x *Index[K]) Delete(key K) { delete(x.ids, key) }
 
+// All iterates over the bindings, in no particular order.
+func (x *Index[K]) All() iter.Seq2[K, ID] { return maps.All(x.ids) }
+
 // Len returns the number of keys.
 func (x *Index[K]) Len() int { return len(x.ids) }
 
