--- a/dispatch/estimates.go
+++ b/dispatch/estimates.go
@@ -56,7 +56,7 @@
 }
 
 // comparable reports whether the run time of a run tells something about other runs of its
-// step: it was confirmed by the answer to its start, and it ran at full speed and alone.
+// step: it was confirmed by the answer to its start, and it ran at full speed.
 func (r *Run) comparable(step *work.Step) bool {
 	return r.startClock > 0 && r.speed == fullSpeed && !r.stopRequested && !step.LongRunning && !step.BestEffort && !step.Gang
 }
@@ -72,7 +72,7 @@
 	_, j, step := s.stageJobAndStep(t)
 	p := s.Pools.Get(j.Pool)
 	w := s.Workers.Get(run.Worker)
-	if !p.learns(j) || !run.comparable(step) {
+	if !p.learns(j) || !run.comparable(step) || run.slow || s.slowWorkers.Contains(run.Worker) {
 		return
 	}
 	took := run.wholeTime(w.clock, 1)
--- a/dispatch/indexes.go
+++ b/dispatch/indexes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/waxwingbridge/waxwingbridge/estimate"
 	"github.com/waxwingbridge/waxwingbridge/table"
 )
 
@@ -20,6 +21,8 @@
 		p.workers.Remove(id)
 	}
 	w.pool = pool
+	s.slowWorkers.Remove(id)
+	w.suspicion, w.slowCapped = estimate.Suspicion{}, false
 	s.pollQueue.Remove(id)
 	s.leaseChecks.Remove(id)
 	p := s.Pools.Get(pool)
--- a/dispatch/indexes_test.go
+++ b/dispatch/indexes_test.go
@@ -84,6 +84,9 @@
 	if owned && (!worker.Listed || len(worker.lapsed) > 0) && !s.unsettled.Contains(id) || !owned && s.unsettled.Contains(id) {
 		w.t.Errorf("worker %s: listed %v, unsettled %v", worker.ID, worker.Listed, s.unsettled.Contains(id))
 	}
+	if !owned && s.slowWorkers.Contains(id) {
+		w.t.Errorf("worker %s of no owned pool is listed as slow", worker.ID)
+	}
 	if s.leaving.Contains(id) != (worker.underMaintenance || worker.maintenancePending) {
 		w.t.Errorf("worker %s is not indexed as leaving", worker.ID)
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -106,12 +106,13 @@
 	reserved bool // for a task on probation
 	// reservedFor is the only stage that may start on the worker; 0 for any.
 	reservedFor table.ID
+	cost        float64 // subtracted from the score
 }
 
 func (s *State) candidates(tick engine.Tick, pool table.ID) []candidate {
 	var all []candidate
 	for id, w := range s.workersOf(pool) {
-		if !s.acceptsStarts(tick.Now, w) {
+		if !s.acceptsStarts(tick.Now, w) || !s.mayProbe(tick.Now, id, w) {
 			continue
 		}
 		all = append(all, s.newCandidate(tick.Now, id, w))
@@ -124,6 +125,9 @@
 	if w.reservedFor != 0 && now.Before(w.reservedForUntil) && s.isReady(w.reservedFor) {
 		c.reservedFor = w.reservedFor
 	}
+	if s.slowWorkers.Contains(id) {
+		c.cost = slowCost
+	}
 	return c
 }
 
@@ -350,7 +354,7 @@
 	default:
 		score -= 8
 	}
-	return score - c.w.faultScore
+	return score - c.w.faultScore - c.cost
 }
 
 // placeGang starts all members of a gang at once, in one rack if the step
@@ -462,6 +466,9 @@
 		progressAt: tick.Now, speed: fullSpeed, restored: t.Checkpoint != "",
 	})
 	c.free = c.free.Sub(size)
+	if c.cost > 0 { // a probe
+		c.free, c.w.nextProbeAt = placement.Resources{}, tick.Now.Add(probeInterval)
+	}
 	if t.isSuspect() {
 		s.markDirty(stage.Job, tick.Now) // a next owner must know of this run
 	}
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -32,7 +32,7 @@
 		known = false
 	}
 	if !known {
-		id = s.Pools.Insert(Pool{Name: name, Token: token, Epoch: epoch, OwnedSince: now, runTimes: estimate.NewRunTimes(maxLearntSteps, maxLearntImages)})
+		id = s.Pools.Insert(Pool{Name: name, Token: token, Epoch: epoch, OwnedSince: now, runTimes: estimate.NewRunTimes(maxLearntSteps, maxLearntImages), peers: estimate.NewPeers(maxPeerSteps)})
 		s.poolByName.Put(name, id)
 		s.log(events.PoolOwned, events.F("pool", name), events.F("token", token), events.F("epoch", epoch))
 	}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -208,6 +208,7 @@
 		run.firstClock, run.firstPercent = clock, status.Percent
 	}
 	run.load = status.Load
+	s.judgeRate(tick.Now, id, clock, status.Percent, false)
 	t := s.Tasks.Get(run.Task)
 	if t == nil {
 		return
@@ -279,15 +280,7 @@
 	if w.faultScore < quarantineScore || len(w.failedJobs) < 2 || now.Before(w.quarantinedUntil) {
 		return
 	}
-	quarantined, all := 0, 0
-	for _, other := range s.workersOf(w.pool) {
-		if other.Listed {
-			all++
-			if now.Before(other.quarantinedUntil) {
-				quarantined++
-			}
-		}
-	}
+	quarantined, all := s.unfitWorkers(now, w.pool)
 	if float64(quarantined+1) > maxQuarantinedShare*float64(all) {
 		s.log(events.WorkerUnfitCapped, events.F("worker", w.ID), events.F("unfit", quarantined), events.F("workers", all))
 		return
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -48,6 +48,7 @@
 	unsavedJobs         table.Heap[time.Time] // changed jobs without a write in flight, by the time of their save
 	ready               readyQueue
 	runTimes            *estimate.RunTimes // learnt by this owner
+	peers               *estimate.Peers    // nil judges no worker
 	placedAt            time.Time
 	retriedAt           time.Time // last placement that no change called for
 	lastSweepAt         time.Time
@@ -141,6 +142,7 @@
 	Tasks             []table.ID
 	ReadyTasks        int              // tasks that wait for placement
 	readyQueue        table.ID         // queue of its team among the ready stages; 0 without ready tasks
+	rates             estimate.Rates   // of its runs, by worker
 	late              bool             // the job has passed its deadline, as far as the ready queue knows
 	perWorker         map[table.ID]int // tasks of the stage that may run, by worker
 	tickets           map[string]ticket
@@ -187,6 +189,7 @@
 	AvoidWorker    table.ID // worker of the last failure
 	NotBefore      time.Time
 	ReadySince     time.Time
+	movedOff       bool // a run of it was stopped on a slow worker
 	runFound       bool // a run started by an earlier owner was found and adopted
 }
 
@@ -233,6 +236,10 @@
 	startClock, firstClock time.Duration
 	firstPercent           int
 	restored               bool // it began with a checkpoint
+	// ratedClock and ratedPercent are from the last list at which its rate was judged.
+	ratedClock   time.Duration
+	ratedPercent int
+	slow         bool // by its last rate
 	// brokenOff reports that the connection ended right after the start was ordered,
 	// as when the run crashes its worker before that can answer.
 	brokenOff bool
@@ -290,9 +297,12 @@
 	quarantinedUntil   time.Time
 	faultScore         float64
 	failedJobs         map[string]struct{}
-	underMaintenance   bool // a machine order takes the worker out of its pool
-	maintenancePending bool // its machine is scheduled for maintenance
-	surplus            bool // gets no new work because the pool has enough other machines
+	suspicion          estimate.Suspicion
+	slowCapped         bool      // stays in service although it is slow
+	nextProbeAt        time.Time // a slow worker gets no start before
+	underMaintenance   bool      // a machine order takes the worker out of its pool
+	maintenancePending bool      // its machine is scheduled for maintenance
+	surplus            bool      // gets no new work because the pool has enough other machines
 	// keptUntil keeps the worker from becoming surplus, since a waiting stage fits on few
 	// others.
 	keptUntil time.Time
@@ -445,6 +455,8 @@
 	leaving        table.Set             // workers whose machine is under, or due for, maintenance or a move
 	stopRequests   table.Set             // runs for which a stop is requested
 	bestEffortRuns table.Set
+	slowWorkers    table.Set
+	restartsAt     time.Time // next search for runs to restart
 	// underMaintenance and maintenancePending hold the workers and machines that were
 	// last reported, also those that are not in the tables yet.
 	underMaintenance   map[string]bool
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -341,6 +341,7 @@
 	}
 	if ended != 0 {
 		if end.Reason == work.EndDone {
+			s.judgeRate(tick.Now, ended, w.clock, donePercent, true)
 			s.observeRunTime(tick.Now, ended)
 		}
 		s.removeRun(ended)
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -70,7 +70,8 @@
 	// holdWrites keeps writes of records of this kind in flight until releaseWrites.
 	holdWrites  ledger.Kind
 	heldWrites  []ledger.Write
-	ignoreStops bool // stops get no answer
+	without     string // name of a system that isn't run
+	ignoreStops bool   // stops get no answer
 	// countsVisits leaves out checkIndexes, which visits whole tables.
 	countsVisits bool
 }
@@ -143,7 +144,9 @@
 func (w *simulation) tick() {
 	tick := w.tickNow()
 	for _, system := range Systems {
-		system.Run(w.s, tick)
+		if system.Name != w.without {
+			system.Run(w.s, tick)
+		}
 	}
 	for _, f := range w.workers {
 		f.advance(w.now)
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -123,6 +123,8 @@
 	WorkersReserved          = Event{871, log.InfoLevel, "workers were reserved for an overdue stage"}
 	OverloadOrder            = Event{872, log.InfoLevel, "order of ready jobs changed with the load"}
 	RunTimeLearnt            = Event{873, log.InfoLevel, "expected run time of a step changed"}
+	WorkerSlow               = Event{874, log.WarnLevel, "worker changed between slow and not slow"}
+	SlowRunRestarted         = Event{875, log.InfoLevel, "run on a slow worker is started elsewhere"}
 	MaintenanceWaveRequested = Event{850, log.InfoLevel, "maintenance wave was requested"}
 	MachineChosen            = Event{851, log.InfoLevel, "machine was chosen for maintenance"}
 	MaintenanceOrdered       = Event{852, log.InfoLevel, "maintenance of a machine was ordered"}
@@ -164,7 +166,7 @@
 		PoolReconciled, WorkFinished, ProgressNotSaved, DemandNotSaved, DemandReported, RunOrdered, StartRefused, RunEnded,
 		RunAbandoned, RunAdopted, RunStopOrdered, RunStalled, BestEffortSpeedChanged, AdviceAnswered,
 		WorkerDraining, WorkerUnregistered, WorkerIncarnationEnded, WorkerLeasesExpired, OrderFenced, WorkerUnfit,
-		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, WorkersReserved, OverloadOrder, RunTimeLearnt, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
+		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, WorkersReserved, OverloadOrder, RunTimeLearnt, WorkerSlow, SlowRunRestarted, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
 		MachinesUnavailable, MaintenanceNotSaved, PoolsDivided, ManifestInForce, StoreEntryInvalid, LeaseCallFailed, SettingsReloaded,
 		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, StoreReadInFull, WorkerKept, MachineMovePlanned, MachineMoveOrdered,
 	}
