--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -64,9 +64,11 @@
 	run.ratedClock, run.ratedPercent = clock, done
 	// Runs of the same stage share the error of their estimate. Those of other jobs are the
 	// measure only if the stage is too small.
-	verdict, enough := stage.rates.Judge(now, run.Worker, rate)
-	if other := p.peers.Judge(now, estimate.StepKey{Queue: j.Spec.Queue, Step: stage.Step}, run.Worker, rate); !enough && len(stage.Tasks) < minStagePeers {
-		verdict = other
+	var verdict estimate.Verdict
+	if len(stage.Tasks) < minStagePeers {
+		verdict = p.peers.Judge(now, estimate.StepKey{Queue: j.Spec.Queue, Step: stage.Step}, run.Worker, rate)
+	} else {
+		verdict = stage.rates.Judge(now, run.Worker, rate)
 	}
 	if verdict != estimate.VerdictNone {
 		run.slow = verdict == estimate.VerdictSlow
--- a/estimate/speed.go
+++ b/estimate/speed.go
@@ -64,13 +64,14 @@
 }
 
 // Judge records a rate of a worker and compares it with the median of the other workers.
-// It returns false if there are too few of them. The rates must be those of one stage.
-func (r *Rates) Judge(now time.Time, worker table.ID, rate float64) (v Verdict, enough bool) {
+// The rates must be those of one stage.
+func (r *Rates) Judge(now time.Time, worker table.ID, rate float64) Verdict {
 	return r.judge(now, worker, rate, slowShare)
 }
 
-func (r *Rates) judge(now time.Time, worker table.ID, rate, slow float64) (v Verdict, enough bool) {
-	var others []float64
+func (r *Rates) judge(now time.Time, worker table.ID, rate, slow float64) Verdict {
+	var buffer [maxPeers]float64
+	others := buffer[:0]
 	for _, peer := range r.rates {
 		if peer.worker != worker && now.Sub(peer.at) <= peerMemory {
 			others = append(others, peer.rate)
@@ -78,16 +79,16 @@
 	}
 	r.record(now, worker, rate)
 	if len(others) < minPeers {
-		return VerdictNone, false
+		return VerdictNone
 	}
 	slices.Sort(others)
 	switch median := others[(len(others)-1)/2]; {
 	case rate < slow*median:
-		return VerdictSlow, true
+		return VerdictSlow
 	case rate > fineShare*median:
-		return VerdictFine, true
+		return VerdictFine
 	default:
-		return VerdictNone, true
+		return VerdictNone
 	}
 }
 
@@ -109,8 +110,7 @@
 	if step == nil {
 		return VerdictNone
 	}
-	v, _ := step.judge(now, worker, rate, slowShareOfStep)
-	return v
+	return step.judge(now, worker, rate, slowShareOfStep)
 }
 
 // step returns the row of a step, in place of the one that was unused for longest if there
--- a/estimate/speed_test.go
+++ b/estimate/speed_test.go
@@ -33,7 +33,7 @@
 			if stages[job] == nil {
 				stages[job] = &Rates{}
 			}
-			v, _ := stages[job].Judge(now, table.ID(worker+1), rate)
+			v := stages[job].Judge(now, table.ID(worker+1), rate)
 			if !wide {
 				v = peers.Judge(now, StepKey{Queue: "q", Step: job % 2}, table.ID(worker+1), rate)
 			}
