--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -237,7 +237,7 @@
 
 // machineNeed computes how many machines a pool can use.
 func (s *State) machineNeed(now time.Time, p *Pool, have []table.ID) int {
-	capacity, busy, longRunning := 0, 0, 0
+	capacity, busy, longRunning, slow := 0, 0, 0, 0
 	for _, id := range have {
 		w := s.Workers.Get(id)
 		capacity += w.Capacity.MilliCores
@@ -245,6 +245,9 @@
 		if w.load.longRunning > 0 {
 			longRunning++
 		}
+		if s.slowWorkers.Contains(id) {
+			slow++ // it gets hardly any tasks
+		}
 	}
 	s.updateReadyOrder(now, p)
 	waiting := float64(p.ready.millicores) + lateWorkWeight*float64(p.ready.lateMillicores)
@@ -258,7 +261,7 @@
 	// as the pool must be able to run at a time, beside what waits already.
 	wanted := max(float64(busy), p.expectedArrivalRate(now)*1000) + waiting
 	perMachine := float64(capacity) / float64(len(have)) * usableShare
-	machines := int(math.Ceil(min(wanted/max(1, perMachine), maxNeed)))
+	machines := slow + int(math.Ceil(min(wanted/max(1, perMachine), maxNeed)))
 	return s.smoothNeed(now, p, max(machines, longRunning+spareMachines, s.longRunningWorkers(p)+spareMachines, minMachines))
 }
 
--- a/dispatch/owed.go
+++ b/dispatch/owed.go
@@ -56,6 +56,12 @@
 // countTeamJobs counts the jobs of each team that have been accepted since the last call,
 // in all partitions.
 func (s *State) countTeamJobs(now time.Time, changed []table.ID) {
+	if s.countedRevision == 0 { // the jobs of the first read were accepted at any time before
+		if s.Mirror.Synced {
+			s.countedRevision = s.Mirror.Revision
+		}
+		return
+	}
 	for _, row := range changed {
 		l := s.Mirror.Jobs.Get(row)
 		if l == nil || l.Spec == nil || l.Spec.Team == "" || l.CreateRevision <= s.countedRevision || l.CreateRevision > s.Mirror.Revision {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -159,8 +159,11 @@
 		p.startBudget -= candidates[i].w.load.starts
 	}
 	s.placeOverdue(tick, poolID, candidates)
-	s.beginTurns(poolID)
 	largest := largestFree(candidates)
+	if !p.ready.smallest.Fits(largest) {
+		return
+	}
+	s.beginTurns(poolID)
 	exact := placement.Resources{MilliCores: math.MaxInt, MemoryMB: math.MaxInt, Accelerators: math.MaxInt}
 	for {
 		if p.startBudget <= 0 || !p.ready.smallest.Fits(largest) {
--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -330,3 +330,38 @@
 	}
 	return order
 }
+
+// Guards against a reservation that waits for a worker that is gone. One failure: a reserved
+// worker becomes silent before the gang has started.
+func TestReservationOutlivesTheLossOfAWorker(t *testing.T) {
+	w := newSharedSimulation(t, map[string]float64{"gang": 1000, "small": 1000})
+	w.addWorker("w5")
+	w.run(200 * time.Millisecond)
+	gang := job(work.Step{Count: 4, Gang: true, Size: placement.Resources{MilliCores: 4000, MemoryMB: 1000}, Estimate: 300 * time.Millisecond})
+	gang.ID, gang.Team, gang.AcceptedAt = "gang", "gang", w.now.Add(-20*time.Second)
+	started := time.Time{}
+	w.observe = func(name work.TaskName) {
+		if name.Job == "gang" && started.IsZero() {
+			started = w.now
+		}
+	}
+	begin := w.now
+	lost := false
+	for i := 0; i < 300 && started.IsZero(); i++ {
+		for n := range 2 {
+			w.accept(teamJob(fmt.Sprintf("small-%d-%d", i, n), "small", 10))
+		}
+		w.run(100 * time.Millisecond)
+		if i == 1 {
+			w.accept(gang)
+		}
+		for _, worker := range w.s.Workers.All() {
+			if worker.reservedFor != 0 && !lost {
+				w.workers[worker.ID].silent, lost = true, true
+			}
+		}
+	}
+	if !lost || started.IsZero() || started.Sub(begin) > 2*overdueReservation {
+		t.Errorf("worker lost %v; the gang starts after %v, want within two reservations", lost, started.Sub(begin))
+	}
+}
