--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -213,7 +213,7 @@
 	}
 	s.Out.Writes.Add(write)
 	s.log(events.DemandReported, events.F("pool", p.Name), events.F("need", demand.Need), events.F("expected", demand.Expected), events.F("have", demand.Have),
-		events.F("released", len(demand.Released)), events.F("reclaimed", len(reclaim)), events.F("waiting_stages", p.ready.stages.Len()),
+		events.F("released", len(demand.Released)), events.F("reclaimed", len(reclaim)), events.F("waiting_stages", p.ready.Len()),
 		events.F("inflow_cores", int(p.workArrivalRate(now))))
 }
 
@@ -258,7 +258,7 @@
 
 // machineNeed computes how many machines a pool can use.
 func (s *State) machineNeed(now time.Time, p *Pool, have []table.ID) int {
-	capacity, busy, longRunning := 0, 0, 0
+	capacity, busy, longRunning, slow := 0, 0, 0, 0
 	for _, id := range have {
 		w := s.Workers.Get(id)
 		capacity += w.Capacity.MilliCores
@@ -266,6 +266,9 @@
 		if w.load.longRunning > 0 {
 			longRunning++
 		}
+		if s.slowWorkers.Contains(id) {
+			slow++ // it gets hardly any tasks
+		}
 	}
 	s.updateReadyOrder(now, p)
 	waiting := max(0, float64(p.ready.millicores)+lateWorkWeight*float64(p.ready.lateMillicores)-float64(s.waitingForCap(p)))
@@ -279,7 +282,7 @@
 	// as the pool must be able to run at a time, beside what waits already.
 	wanted := max(float64(busy), p.arrivalRateToServe(now, float64(busy)/1000)*1000) + waiting
 	perMachine := float64(capacity) / float64(len(have)) * usableShare
-	machines := int(math.Ceil(min(wanted/max(1, perMachine), maxNeed)))
+	machines := slow + int(math.Ceil(min(wanted/max(1, perMachine), maxNeed)))
 	return p.smoothNeed(now, max(machines, longRunning+spareMachines, s.longRunningWorkers(p)+spareMachines, minMachines))
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -35,11 +35,15 @@
 	// dataLocalityWait is how long a ready task waits for capacity in the rack
 	// that holds its data.
 	dataLocalityWait = 400 * time.Millisecond
+	// worthlessAfter is how many times its objective after the deadline a job stops to earn.
+	worthlessAfter = 2
 )
 
 // setDeadline derives the deadline, the remaining times and the value density of
-// a job from its steps and limits.
+// a job from its steps and limits. The objective follows from the declared run times, what
+// is left to do from the expected ones.
 func (s *State) setDeadline(tick engine.Tick, j *Job) {
+	s.setExpectedTimes(tick.Now, j)
 	pathLength := make([]time.Duration, len(j.Spec.Steps))
 	var criticalPath time.Duration
 	workload := 0.0 // core-seconds
@@ -50,14 +54,15 @@
 		}
 		pathLength[i] += step.Estimate
 		criticalPath = max(criticalPath, pathLength[i])
-		workload += float64(step.Count) * step.Estimate.Seconds() * float64(step.Reserved().MilliCores) / 1000
+		workload += j.stepWork(i)
 	}
 	age := s.acceptedAgo(j.Spec)
 	allowed := time.Duration(max(1, j.Spec.Limits.SlowdownFactor)*float64(criticalPath)) + j.Spec.Limits.Latency
 	j.Deadline = tick.Now.Add(allowed - age)
+	j.overdueAt = j.Deadline.Add(worthlessAfter * allowed)
 	j.remainingTime = make([]time.Duration, len(j.Spec.Steps))
 	for i := len(j.remainingTime) - 1; i >= 0; i-- {
-		j.remainingTime[i] += j.Spec.Steps[i].Estimate
+		j.remainingTime[i] += j.expected(i)
 		for _, before := range j.Spec.Steps[i].After {
 			j.remainingTime[before] = max(j.remainingTime[before], j.remainingTime[i])
 		}
@@ -87,10 +92,11 @@
 			continue
 		}
 		s.updateReadyOrder(tick.Now, p)
+		s.checkOverload(tick.Now, id, p)
 		if !tick.Now.Before(p.retriedAt.Add(placementRetryInterval)) {
 			p.retriedAt, p.placementNeeded = tick.Now, true
 		}
-		if p.placementNeeded && p.ready.stages.Len() > 0 {
+		if p.placementNeeded && p.ready.Len() > 0 {
 			s.placePool(tick, id)
 			p.placedAt = tick.Now
 		}
@@ -105,12 +111,15 @@
 	w        *Worker
 	free     placement.Resources
 	reserved bool // for a task on probation
+	// reservedFor is the only stage that may start on the worker; 0 for any.
+	reservedFor table.ID
+	cost        float64 // subtracted from the score
 }
 
 func (s *State) candidates(tick engine.Tick, pool table.ID) []candidate {
 	var all []candidate
 	for id, w := range s.workersOf(pool) {
-		if !s.acceptsStarts(tick.Now, w) {
+		if !s.acceptsStarts(tick.Now, w) || !s.mayProbe(tick.Now, id, w) {
 			continue
 		}
 		all = append(all, s.newCandidate(tick.Now, id, w))
@@ -119,7 +128,14 @@
 }
 
 func (s *State) newCandidate(now time.Time, id table.ID, w *Worker) candidate {
-	return candidate{id: id, w: w, free: w.Capacity.Sub(w.used), reserved: now.Before(w.reservedUntil)}
+	c := candidate{id: id, w: w, free: w.Capacity.Sub(w.used), reserved: now.Before(w.reservedUntil)}
+	if w.reservedFor != 0 && now.Before(w.reservedForUntil) && s.isReady(w.reservedFor) {
+		c.reservedFor = w.reservedFor
+	}
+	if s.slowWorkers.Contains(id) {
+		c.cost = slowCost
+	}
+	return c
 }
 
 func stepOf(s *State, t *Task) *work.Step {
@@ -150,22 +166,34 @@
 		p.startBudget -= candidates[i].w.load.starts
 	}
 	s.beginCaps(p, candidates)
+	s.placeOverdue(tick, poolID, candidates)
 	largest := largestFree(candidates)
+	if !p.ready.smallest.Fits(largest) {
+		return
+	}
+	s.beginTurns(poolID)
 	exact := placement.Resources{MilliCores: math.MaxInt, MemoryMB: math.MaxInt, Accelerators: math.MaxInt}
-	for i := 0; i < p.ready.stages.Len(); {
+	for {
 		if p.startBudget <= 0 || !p.ready.smallest.Fits(largest) {
 			return
 		}
+		team := p.ready.nextTurn()
+		if team == nil {
+			break
+		}
 		s.visitedIndexed++
-		stageID := p.ready.stages.At(i)
+		stageID := team.stages.At(team.next)
 		size := s.stepOfStage(s.Stages.Get(stageID)).Reserved()
-		if size.Fits(largest) && s.placeStage(tick, poolID, stageID, candidates) {
+		started := size.Fits(largest) && s.placeStage(tick, poolID, stageID, candidates)
+		if started {
 			largest = largestFree(candidates)
 		}
-		if i < p.ready.stages.Len() && p.ready.stages.At(i) == stageID {
+		interrupted := started && s.turnOver(p, team.team, placement.Resources{})
+		if !interrupted && team.next < team.stages.Len() && team.stages.At(team.next) == stageID {
 			exact = smallestOf(exact, size)
-			i++
+			team.next++
 		}
+		s.endTurn(p, team)
 	}
 	p.ready.smallest = exact
 }
@@ -231,6 +259,9 @@
 			continue
 		}
 		s.startTask(tick, p, taskID, &candidates[best], 0)
+		if s.turnOver(p, j.Spec.Team, step.Size) {
+			break
+		}
 	}
 	return stage.ReadyTasks < waiting
 }
@@ -299,6 +330,8 @@
 		return false
 	case !s.allows(now, c, step, t):
 		return false
+	case c.reservedFor != 0 && c.reservedFor != t.Stage:
+		return false
 	case rack != "" && c.w.Rack != rack:
 		return false
 	case step.Label != "" && !slices.Contains(c.w.Labels, step.Label):
@@ -338,7 +371,7 @@
 	default:
 		score -= 8
 	}
-	return score - c.w.faultScore
+	return score - c.w.faultScore - c.cost
 }
 
 // placeGang starts all members of a gang at once, in one rack if the step
@@ -447,13 +480,17 @@
 	c.w.leaseUntil = max(c.w.leaseUntil, order.LeaseUntil)
 	order.Run = s.insertRun(Run{
 		Task: taskID, Name: name, Number: number, Worker: c.id, State: RunOrdered, OrderedAt: tick.Now, Size: size,
-		progressAt: tick.Now, speed: fullSpeed,
+		progressAt: tick.Now, speed: fullSpeed, restored: t.Checkpoint != "",
 	})
 	c.free = c.free.Sub(size)
+	if c.cost > 0 { // a probe
+		c.free, c.w.nextProbeAt = placement.Resources{}, tick.Now.Add(probeInterval)
+	}
 	if t.isSuspect() {
 		s.markDirty(stage.Job, tick.Now) // a next owner must know of this run
 	}
 	p.startBudget--
+	p.ready.startsSinceOverdue = min(p.ready.startsSinceOverdue+1, maxStartsInFlight)
 	s.Out.Starts.Add(order)
 	s.count("starts")
 	s.log(events.RunOrdered, events.F("task", name.String()), events.F("run", number), events.F("worker", c.w.ID),
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/waxwingbridge/waxwingbridge/estimate"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/forecast"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
@@ -47,6 +48,8 @@
 	nextSaveAt          time.Time
 	unsavedJobs         table.Heap[time.Time] // changed jobs without a write in flight, by the time of their save
 	ready               readyQueue
+	runTimes            *estimate.RunTimes // learnt by this owner
+	peers               *estimate.Peers    // nil judges no worker
 	placedAt            time.Time
 	retriedAt           time.Time // last placement that no change called for
 	lastSweepAt         time.Time
@@ -83,6 +86,10 @@
 	ValueDensity float64       // benefit per unit of work; orders jobs of equal urgency
 	Work         float64       // estimated core-seconds
 
+	overdueAt     time.Time       // from then on the job earns nothing, and other jobs pass it over only so often
+	expectedTimes []time.Duration // by step: expected run time of a task; nil for the declared ones
+	worth         float64         // benefit if it is in time, against the mean of its kind
+	workLeft      []float64       // by step: core-seconds of the step and of those that depend on it
 	remainingTime []time.Duration // by step: estimated time from its start to the end of the job
 	// occurrences holds the rows of the occurrences in the tables, by number. The others
 	// are finished or not due yet; every one below nextOccurrence is in the tables or
@@ -136,6 +143,8 @@
 	DoneTasks         int
 	Tasks             []table.ID
 	ReadyTasks        int              // tasks that wait for placement
+	readyQueue        table.ID         // queue of its team among the ready stages; 0 without ready tasks
+	rates             estimate.Rates   // of its runs, by worker
 	late              bool             // the job has passed its deadline, as far as the ready queue knows
 	perWorker         map[table.ID]int // tasks of the stage that may run, by worker
 	tickets           map[string]ticket
@@ -182,6 +191,7 @@
 	AvoidWorker    table.ID // worker of the last failure
 	NotBefore      time.Time
 	ReadySince     time.Time
+	movedOff       bool // a run of it was stopped on a slow worker
 	runFound       bool // a run started by an earlier owner was found and adopted
 }
 
@@ -223,6 +233,15 @@
 	stopAnswerClock time.Duration // the worker's clock when it answered a stop; 0 before that
 	stopAnswered    bool
 	startedAt       time.Time // when the first proof of the run arrived
+	// startClock is the worker's clock in the answer that accepted the start; 0 if there
+	// was none. firstClock and firstPercent are from the first list with the run.
+	startClock, firstClock time.Duration
+	firstPercent           int
+	restored               bool // it began with a checkpoint
+	// ratedClock and ratedPercent are from the last list at which its rate was judged.
+	ratedClock   time.Duration
+	ratedPercent int
+	slow         bool // by its last rate
 	// brokenOff reports that the connection ended right after the start was ordered,
 	// as when the run crashes its worker before that can answer.
 	brokenOff bool
@@ -272,14 +291,20 @@
 	lapsedAt time.Time
 	// reservedUntil keeps starts off the worker, except those of tasks on probation.
 	reservedUntil time.Time
+	// reservedFor is an overdue stage for which other starts are kept off the worker.
+	reservedFor      table.ID
+	reservedForUntil time.Time
 
 	noStartsUntil      time.Time
 	quarantinedUntil   time.Time
 	faultScore         float64
 	failedJobs         map[string]struct{}
-	underMaintenance   bool // a machine order takes the worker out of its pool
-	maintenancePending bool // its machine is scheduled for maintenance
-	surplus            bool // gets no new work because the pool has enough other machines
+	suspicion          estimate.Suspicion
+	slowCapped         bool      // stays in service although it is slow
+	nextProbeAt        time.Time // a slow worker gets no start before
+	underMaintenance   bool      // a machine order takes the worker out of its pool
+	maintenancePending bool      // its machine is scheduled for maintenance
+	surplus            bool      // gets no new work because the pool has enough other machines
 	// keptUntil keeps the worker from becoming surplus, since a waiting stage fits on few
 	// others.
 	keptUntil time.Time
@@ -431,12 +456,17 @@
 	// finishedOccurrences are those of which nothing runs and that are saved as finished.
 	finishedOccurrences []table.ID
 
+	kinds       table.Table[jobKind]
+	kindByQueue table.Index[string]
+
 	pollQueue      table.Heap[time.Time] // workers of owned pools without a poll in flight, by the time of the next one
 	leaseChecks    table.Heap[time.Time] // workers with runs, by the time at which their leases may have expired
 	unsettled      table.Set             // workers of owned pools that left the registry or whose runs were given up
 	leaving        table.Set             // workers whose machine is under, or due for, maintenance or a move
 	stopRequests   table.Set             // runs for which a stop is requested
 	bestEffortRuns table.Set
+	slowWorkers    table.Set
+	restartsAt     time.Time // next search for runs to restart
 	// underMaintenance and maintenancePending hold the workers and machines that were
 	// last reported, also those that are not in the tables yet.
 	underMaintenance   map[string]bool
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -120,6 +120,11 @@
 	WorkerUnfitCapped        = Event{846, log.WarnLevel, "worker with failures stays in service because the cap on exclusions is reached"}
 	WorkerCrashed            = Event{847, log.WarnLevel, "worker crashed with runs"}
 	TaskGivenUp              = Event{848, log.WarnLevel, "task crashed its workers and was given up"}
+	WorkersReserved          = Event{877, log.InfoLevel, "workers were reserved for an overdue stage"}
+	OverloadOrder            = Event{878, log.InfoLevel, "order of ready jobs changed with the load"}
+	RunTimeLearnt            = Event{879, log.InfoLevel, "expected run time of a step changed"}
+	WorkerSlow               = Event{880, log.WarnLevel, "worker changed between slow and not slow"}
+	SlowRunRestarted         = Event{881, log.InfoLevel, "run on a slow worker is started elsewhere"}
 	MaintenanceWaveRequested = Event{850, log.InfoLevel, "maintenance wave was requested"}
 	MachineChosen            = Event{851, log.InfoLevel, "machine was chosen for maintenance"}
 	MaintenanceOrdered       = Event{852, log.InfoLevel, "maintenance of a machine was ordered"}
@@ -167,7 +172,7 @@
 		PoolReconciled, WorkFinished, ProgressNotSaved, DemandNotSaved, DemandReported, RunOrdered, StartRefused, RunEnded,
 		RunAbandoned, RunAdopted, RunStopOrdered, RunStalled, BestEffortSpeedChanged, AdviceAnswered,
 		WorkerDraining, WorkerUnregistered, WorkerIncarnationEnded, WorkerLeasesExpired, OrderFenced, WorkerUnfit,
-		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
+		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, WorkersReserved, OverloadOrder, RunTimeLearnt, WorkerSlow, SlowRunRestarted, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
 		MachinesUnavailable, MaintenanceNotSaved, PoolsDivided, ManifestInForce, StoreEntryInvalid, LeaseCallFailed, SettingsReloaded,
 		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, StoreReadInFull, WorkerKept, MachineMovePlanned, MachineMoveOrdered,
 		AllotmentChanged, AllotmentNotSaved, CapWaitBegan, CapWaitEnded,
