--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -365,3 +365,22 @@
 		t.Errorf("worker lost %v; the gang starts after %v, want within two reservations", lost, started.Sub(begin))
 	}
 }
+
+// Guards against room that stays unused because the only jobs that wait are beyond their
+// team's weight. Load: a team of weight 1 alone sends 200 jobs at once.
+func TestJobsBeyondTheWeightUseFreeRoom(t *testing.T) {
+	w := newSharedSimulation(t, map[string]float64{"team": 1})
+	for i := range 200 {
+		w.accept(teamJob(fmt.Sprintf("j%d", i), "team", 8))
+	}
+	w.run(time.Second)
+	excess := 0
+	for _, j := range w.s.Jobs.All() {
+		if j.excess {
+			excess++
+		}
+	}
+	if running := w.s.Runs.Len(); excess < 100 || running < 30 {
+		t.Errorf("%d jobs are beyond the weight and %d tasks run, want at least 100 and about 32", excess, running)
+	}
+}
