--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,9 @@
 # The process tests run alone: CPU-bound tests of other packages would stall the
 # processes for longer than their leases.
 unit:
-	$(GO) test -count=1 -timeout 20m -skip '$(KNOWN_RED)' $$($(GO) list ./... | grep -v -e /waxwingbridge/test$$ -e /waxwingbridge/soak$$)
+	$(GO) test -count=1 -timeout 20m -skip '$(KNOWN_RED)' $$($(GO) list ./... | grep -v -e /waxwingbridge/test$$ -e /waxwingbridge/soak$$ -e /waxwingbridge/crowd$$)
 	$(GO) test -count=1 -timeout 20m ./test
+	$(GO) test -count=1 -timeout 20m -skip '$(KNOWN_RED)' -v ./crowd
 	$(GO) test -count=1 -timeout 20m ./soak -v -soak.known='$(KNOWN_VIOLATION)'
 	@cat KNOWN-RED.txt
 
