--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -234,11 +234,16 @@
 	p := start(t)
 	stop := make(chan struct{})
 	var reading sync.WaitGroup
-	defer reading.Wait()
-	defer close(stop)
 	c := gather(t, p.metrics, silentClients/2, func(conn net.Conn) {
 		write(conn, strings.Repeat("GET /metrics HTTP/1.1\r\nHost: shop.example\r\n\r\n", 200))
 	})
+	defer func() {
+		close(stop)
+		for _, conn := range c.conns {
+			conn.Close() // ends reads of answers that never come
+		}
+		reading.Wait()
+	}()
 	for _, conn := range c.conns {
 		reading.Go(func() {
 			one := make([]byte, 1)
--- a/entry/process.go
+++ b/entry/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -17,6 +16,8 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/waxwingbridge/waxwingbridge/admission"
+	"github.com/waxwingbridge/waxwingbridge/clientconn"
+	"github.com/waxwingbridge/waxwingbridge/clientlimit"
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/intake"
@@ -60,9 +61,7 @@
 	gcPercent = 200
 	// memoryShare is the part of the node's memory limit that is set as the soft
 	// memory limit of the Go runtime.
-	memoryShare       = 0.6
-	headerTimeout     = 5 * time.Second
-	idleClientTimeout = 60 * time.Second
+	memoryShare = 0.6
 )
 
 // Process is one entry process with its control loop, servers and clients.
@@ -91,6 +90,7 @@
 	cancel  context.CancelFunc
 	calls   sync.WaitGroup
 	servers []*http.Server
+	gate    *clientconn.Gate
 
 	manifest atomic.Pointer[work.Manifest]
 	// manifestUsableUntil is the time, in nanoseconds since clockEpoch, until which the
@@ -130,6 +130,7 @@
 		machines: platform.NewMachineClient(settings.MachinesAddress, func(err error) { log.Log(events.MachineRowInvalid, events.Err(err)) }), advice: platform.NewAdviceClient(settings.AdviceAddress),
 		wakeRecords: make(chan struct{}, 1), wakeRegistry: make(chan struct{}, 1),
 	}
+	p.gate = p.newGate()
 	p.counters.scope, p.timers.scope = p.metrics.Scope, p.metrics.Scope
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	program := engine.Program[State, event]{
@@ -157,12 +158,12 @@
 	frontend := &platform.Frontend{
 		Manifest: p.usableManifest, Execute: p.execute, Ready: p.ready.Load, Closing: p.closing.Load, Now: now, TimeOfDay: time.Now,
 	}
-	handlers := map[string]http.Handler{p.settings.ClientAddress: frontend.Handler(), p.settings.ReadyAddress: frontend.ReadinessHandler()}
-	if p.settings.MetricsAddress != "" {
-		handlers[p.settings.MetricsAddress] = p.metrics.Handler()
+	p.gate.Start(p.ctx)
+	handlers := map[clientlimit.Class]http.Handler{
+		clientlimit.Clients: frontend.Handler(), clientlimit.Readiness: frontend.ReadinessHandler(), clientlimit.Metrics: p.metrics.Handler(),
 	}
-	for address, handler := range handlers {
-		if err := p.serve(address, handler); err != nil {
+	for class, handler := range handlers {
+		if err := p.serve(class, handler); err != nil {
 			return err
 		}
 	}
@@ -175,21 +176,6 @@
 	return nil
 }
 
-func (p *Process) serve(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleClientTimeout}
-	p.servers = append(p.servers, server)
-	go func() {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			p.log.Log(events.ServerFailed, events.F("address", address), events.Err(err))
-		}
-	}()
-	return nil
-}
-
 // watchRecords posts the changes of the records of this system.
 func (p *Process) watchRecords() {
 	pause := func() time.Duration { return p.watchPause(ownerRecordsPause, nonOwnerRecordsPause) }
--- a/work/manifest.go
+++ b/work/manifest.go
@@ -11,6 +11,10 @@
 	Queues       []Queue
 	Pools        []Pool
 	MaxBodyBytes int
+	// Limits of requests, each 0 if the manifest sets none.
+	MaxHeaderBytes int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
 
 	// Teams are the teams that SetTeams has set.
 	Teams      []Team
