--- a/clientconn/conn_test.go
+++ b/clientconn/conn_test.go
@@ -160,6 +160,20 @@
 	s.await("all is given back", func() bool { return s.gate.Held() == 0 && len(s.gate.slots[clientlimit.Clients]) == 0 })
 }
 
+// Guards against heads and bodies that a connection holds until it is closed.
+func TestRequestsGiveBackOnAnOpenConnection(t *testing.T) {
+	s := newSite(t, clientlimit.Derive(184<<20, 4100))
+	conn := s.dial()
+	body := strings.Repeat("x", 100<<10)
+	for range 3 {
+		head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nX: %s\r\nContent-Length: %d\r\n\r\n", body[:10<<10], len(body))
+		if status, _ := exchange(conn, head+body); status != 200 {
+			t.Fatalf("status %d", status)
+		}
+		s.await("the request's bytes are given back", func() bool { return s.gate.Held() == clientlimit.ConnBytes })
+	}
+}
+
 // Guards against a limit that holds only for connections opened after its change.
 func TestChangedLimitsHoldForTheNextRequest(t *testing.T) {
 	s := newSite(t, clientlimit.Derive(184<<20, 4100))
--- a/clientlimit/clientlimit_test.go
+++ b/clientlimit/clientlimit_test.go
@@ -85,6 +85,27 @@
 	}
 }
 
+// Guards against a connection that is closed for the time in which the process worked for
+// it.
+func TestTimeOfTheProcessIsNoStall(t *testing.T) {
+	w := newWorld(t, testLimits(1000<<10, 100))
+	busy, moving := w.open(Clients, 400<<10), w.open(Clients, 400<<10)
+	busy.SetBusy(true)
+	for range 10 {
+		moving.Received.Add(minRate)
+		w.pass(sampleInterval)
+	}
+	busy.SetBusy(false)
+	w.pass(sampleInterval)
+	if len(w.closed) != 0 {
+		t.Errorf("closed are %v", w.closed)
+	}
+	w.pass(time.Second)
+	if len(w.closed) == 0 {
+		t.Error("none was closed though both have stalled")
+	}
+}
+
 // Guards against a connection that escapes by trickling bytes.
 func TestTrickleIsNoProgress(t *testing.T) {
 	w := newWorld(t, testLimits(1000<<10, 100))
@@ -115,8 +136,6 @@
 	if len(w.closed) != 0 {
 		t.Fatalf("closed are %v though nobody waits", w.closed)
 	}
-	served.Served.Add(1)
-	w.pass(sampleInterval)
 	w.pass(sampleInterval, func(s *State, _ engine.Tick) { s.Full(Clients) })
 	if len(w.closed) != minRoom || w.closed[other] != 0 || w.closed[served] != 0 {
 		t.Errorf("%d connections were closed, want %d silent ones of the listener", len(w.closed), minRoom)
