--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -151,6 +151,7 @@
 	CapWaitEnded             = Event{874, log.InfoLevel, "tasks of a team no longer wait for its cap"}
 	ForecastLearnt           = Event{875, log.InfoLevel, "period of a pool's demand was learnt"}
 	ForecastLost             = Event{876, log.InfoLevel, "period of a pool's demand is no longer believed"}
+	ClientsLimited           = Event{882, log.WarnLevel, "limits for clients closed connections or refused requests"}
 	LogsDropped              = Event{864, log.WarnLevel, "log records were dropped"}
 )
 
@@ -177,5 +178,6 @@
 		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, StoreReadInFull, WorkerKept, MachineMovePlanned, MachineMoveOrdered,
 		AllotmentChanged, AllotmentNotSaved, CapWaitBegan, CapWaitEnded,
 		ForecastLearnt, ForecastLost,
+		ClientsLimited,
 	}
 }
