--- a/entry/allotment.go
+++ b/entry/allotment.go
@@ -38,15 +38,12 @@
 	storedTeamAllotment struct {
 		Team    string       `json:"T"`
 		Cap     storedAmount `json:"C"`
-		Default storedPart   `json:"D"`
+		Default storedPart   `json:"D"` // as of partition 0
 		Parts   []storedPart `json:"P,omitempty"`
 	}
-	storedPart struct {
-		Partition int          `json:"I,omitempty"`
-		Amount    storedAmount `json:"A,omitzero"`
-		Held      storedAmount `json:"H,omitzero"` // omitted if it equals Amount
-		Lowered   int64        `json:"L,omitempty"`
-	}
+	// storedPart is the partition and the amount, followed by what is held and by the
+	// revision that lowered the amount if the partition may not obey it yet.
+	storedPart []int64
 )
 
 func storeAmount(r placement.Resources) storedAmount {
@@ -83,19 +80,32 @@
 }
 
 func storePart(partition int, p work.AllottedPart) storedPart {
-	stored := storedPart{Partition: partition, Amount: storeAmount(p.Amount), Lowered: p.Lowered}
-	if p.Held != p.Amount {
-		stored.Held = storeAmount(p.Held)
+	stored := storedPart{int64(partition), int64(p.Amount.MilliCores), int64(p.Amount.MemoryMB), int64(p.Amount.Accelerators)}
+	if p.Held == p.Amount && p.Lowered == 0 {
+		return stored
 	}
-	return stored
+	return append(stored, int64(p.Held.MilliCores), int64(p.Held.MemoryMB), int64(p.Held.Accelerators), p.Lowered)
 }
 
-func (p storedPart) part() work.AllottedPart {
-	part := work.AllottedPart{Amount: p.Amount.resources(), Held: p.Held.resources(), Lowered: p.Lowered}
-	if p.Held == (storedAmount{}) {
-		part.Held = part.Amount
+// Lengths of a storedPart.
+const (
+	settledPart = 4
+	pendingPart = 8
+)
+
+// decode returns false for a part of another length or with a negative number.
+func (p storedPart) decode() (work.PartitionPart, bool) {
+	if len(p) != settledPart && len(p) != pendingPart || slices.Min(p) < 0 {
+		return work.PartitionPart{}, false
 	}
-	return part
+	amount := func(at int) placement.Resources {
+		return placement.Resources{MilliCores: int(p[at]), MemoryMB: int(p[at+1]), Accelerators: int(p[at+2])}
+	}
+	part := work.AllottedPart{Amount: amount(1), Held: amount(1)}
+	if len(p) == pendingPart {
+		part.Held, part.Lowered = amount(settledPart), p[pendingPart-1]
+	}
+	return work.PartitionPart{Partition: int(p[0]), AllottedPart: part}, true
 }
 
 func storeAllotment(a *work.Allotment) storedAllotment {
@@ -121,11 +131,13 @@
 	}
 	a := &work.Allotment{Revision: stored.Revision, Manifest: stored.Manifest, Partitions: stored.Partitions}
 	for _, t := range stored.Teams {
-		team := work.TeamAllotment{Team: t.Team, Cap: t.Cap.resources(), Default: t.Default.part()}
-		valid := t.Cap.isValid() && t.Default.Amount.isValid() && t.Default.Held.isValid()
-		for _, p := range t.Parts {
-			valid = valid && p.Amount.isValid() && p.Held.isValid() && p.Partition >= 0 && p.Partition < len(stored.Partitions)
-			team.Parts = append(team.Parts, work.PartitionPart{Partition: p.Partition, AllottedPart: p.part()})
+		rest, valid := t.Default.decode()
+		team := work.TeamAllotment{Team: t.Team, Cap: t.Cap.resources(), Default: rest.AllottedPart}
+		valid = valid && t.Cap.isValid()
+		for _, stored := range t.Parts {
+			part, ok := stored.decode()
+			valid = valid && ok && part.Partition < len(a.Partitions)
+			team.Parts = append(team.Parts, part)
 		}
 		if !valid || !slices.IsSortedFunc(team.Parts, func(x, y work.PartitionPart) int { return cmp.Compare(x.Partition, y.Partition) }) {
 			return nil, errors.Newf("team %q: an amount or partition is out of range or order", t.Team)
--- a/quota/lend.go
+++ b/quota/lend.go
@@ -16,7 +16,7 @@
 	// writeInterval is the shortest interval between two versions of the allotment for each
 	// begun bytesPerInterval of it: every process reads each version.
 	writeInterval    = 100 * time.Millisecond
-	bytesPerInterval = 16 << 10
+	bytesPerInterval = 32 << 10
 	// writeRetryDelay is the delay after a write that was not applied or whose result is
 	// unknown.
 	writeRetryDelay = 150 * time.Millisecond
@@ -36,10 +36,12 @@
 	// them has to report that it obeys.
 	maxDonors = 16
 	// maxRecordBytes bounds the record, below the 256 KB of a value. A team takes up to
-	// teamBytes and a part that differs from its default up to partBytes.
-	maxRecordBytes = 240 << 10
-	teamBytes      = 230
-	partBytes      = 100
+	// teamBytes beside its name, and a part up to partBytes, or pendingPartBytes while its
+	// partition may not obey it yet.
+	maxRecordBytes   = 240 << 10
+	teamBytes        = 180
+	partBytes        = 40
+	pendingPartBytes = 100
 )
 
 // lendCaps decides on the amounts of all capped teams and writes those that change.
@@ -186,9 +188,9 @@
 	}
 	next := work.TeamAllotment{Team: name, Cap: limit}
 	next.Default, next.Parts = compress(t.parts)
-	size := partBytes * len(next.Parts)
+	size := partsBytes(next.Parts)
 	if old != nil {
-		size -= partBytes * len(old.Parts)
+		size -= partsBytes(old.Parts)
 	}
 	if !required && d.bytes+size > maxRecordBytes && size > 0 {
 		d.s.Counters.Add(CounterIncrement{Name: "allotments_too_large", Delta: 1})
@@ -234,7 +236,11 @@
 func compress(parts []work.AllottedPart) (work.AllottedPart, []work.PartitionPart) {
 	counts := map[work.AllottedPart]int{}
 	var most work.AllottedPart
-	for _, p := range parts {
+	for i, p := range parts {
+		if p.Held == p.Amount { // it is obeyed in any case
+			p.Lowered = 0
+			parts[i] = p
+		}
 		if counts[p]++; counts[p] > counts[most] {
 			most = p
 		}
@@ -255,7 +261,17 @@
 		size += len(partition) + 3
 	}
 	for i := range a.Teams {
-		size += len(a.Teams[i].Team) + partBytes*len(a.Teams[i].Parts)
+		size += len(a.Teams[i].Team) + partsBytes(a.Teams[i].Parts)
+	}
+	return size
+}
+
+func partsBytes(parts []work.PartitionPart) int {
+	size := 0
+	for _, p := range parts {
+		if size += partBytes; p.Held != p.Amount {
+			size += pendingPartBytes - partBytes
+		}
 	}
 	return size
 }
