--- a/dispatch/caps.go
+++ b/dispatch/caps.go
@@ -34,6 +34,7 @@
 	SeenAt time.Time // last placement that the cap prevented
 	// Size is that of the tasks that the free workers have room for.
 	Size placement.Resources
+	Use  placement.Resources // what the team used at that time
 	// Next is what the first of them needs to start.
 	Next placement.Resources
 	// MilliCores are those of all waiting tasks.
@@ -281,7 +282,7 @@
 	}
 	w := s.TeamWaits.Get(id)
 	if !w.SeenAt.Equal(now) { // a new placement
-		w.SeenAt, w.Size, w.Next, w.MilliCores = now, placement.Resources{}, smallestOf(next, limit.capOrUnlimited()), 0
+		w.SeenAt, w.Use, w.Size, w.Next, w.MilliCores = now, limit.use, placement.Resources{}, smallestOf(next, limit.capOrUnlimited()), 0
 	}
 	return w
 }
@@ -358,7 +359,12 @@
 			demand.Teams = append(demand.Teams, work.TeamDemand{Team: w.Team, Use: s.teamUseBound(p, team, unanswered)})
 		}
 		if i >= 0 {
-			demand.Teams[i].Waiting, demand.Teams[i].Next = w.Size, w.Next
+			// Some may have started since.
+			waiting := w.Use.Add(w.Size).Sub(demand.Teams[i].Use)
+			waiting = placement.Resources{MilliCores: max(0, waiting.MilliCores), MemoryMB: max(0, waiting.MemoryMB), Accelerators: max(0, waiting.Accelerators)}
+			if demand.Teams[i].Waiting = waiting; waiting != (placement.Resources{}) {
+				demand.Teams[i].Next = w.Next
+			}
 		}
 	}
 	slices.SortFunc(demand.Teams, func(a, b work.TeamDemand) int { return cmp.Compare(a.Team, b.Team) })
--- a/dispatch/caps_test.go
+++ b/dispatch/caps_test.go
@@ -122,19 +122,20 @@
 	site.reportViolations("lowered cap")
 }
 
-// Guards against a cap that is lowered while the fleet has no owner and then exceeded, and
-// against a team that waits without end because nobody computes the amounts again.
+// Guards against a cap that is lowered while the fleet has no owner and then exceeded by the
+// unused part of another pool, and against a team that waits without end because nobody
+// computes the amounts again.
 func TestCapIsLoweredWithoutAnOwnerOfTheFleet(t *testing.T) {
-	site := newCapSite(t, 5, 3, 2, 4, map[string]int{"a": 8000})
-	site.run(time.Second)
-	site.submit("first", "a", site.pools[0], tasks(16, 500, 3*time.Second))
+	site := newCapSite(t, 5, 3, 2, 4, map[string]int{"a": 16000})
 	site.run(time.Second)
+	site.submit("first", "a", site.pools[0], tasks(20, 500, 7*time.Second))
+	site.run(2 * time.Second)
 	site.fleetLess = true
 	site.owners[fleetDuty].process.frozenUntil = site.now.Add(time.Hour)
-	site.setCaps(map[string]int{"a": 4000})
-	site.run(2 * time.Second)
-	site.submit("second", "a", site.pools[0], tasks(2, 500, 500*time.Millisecond))
-	site.run(8 * time.Second)
+	site.setCaps(map[string]int{"a": 8000})
+	site.run(capGrace + 200*time.Millisecond)
+	site.submit("second", "a", site.pools[1], tasks(2, 500, 500*time.Millisecond))
+	site.run(10 * time.Second)
 	if _, known := site.started["second"]; !known {
 		t.Error("the job under the lowered cap never started")
 	}
