--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -9,7 +9,10 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/waxwingbridge/waxwingbridge/platform/standin"
 )
 
 // Load that the clients generate.
@@ -20,11 +23,15 @@
 	maxTries    = 5
 	cancelShare = 0.1
 	crashShare  = 0.01 // jobs whose tasks crash their workers
+	// withdrawnSuffix marks the keys that are withdrawn while the soak runs.
+	withdrawnSuffix = "-withdrawn"
 )
 
 // job is the client's record of a submitted job.
 type job struct {
 	id         string
+	key        string // of its team; withdrawn keys are used for submissions only
+	submitKey  string
 	queue      string
 	tasks      int
 	accepted   bool
@@ -41,6 +48,8 @@
 	processes []*process
 	random    *rand.Rand
 
+	withdrawnAt atomic.Pointer[time.Time] // when the keys with withdrawnSuffix were withdrawn
+
 	mu       sync.Mutex
 	jobs     []*job
 	problems []string
@@ -54,12 +63,13 @@
 }
 
 // request sends one HTTP request. Status 0 means that no complete response arrived.
-func (c *jobClient) request(p *process, method, queue, id, body string) (int, string) {
+func (c *jobClient) request(p *process, method, queue, id, key, body string) (int, string) {
 	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+p.frontendAddress+"/"+queue+"/"+id, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
 	request.Host = "shop.example"
+	request.Header.Set("Key", key)
 	response, err := c.http.Do(request)
 	if err != nil {
 		return 0, err.Error()
@@ -86,6 +96,10 @@
 			id: fmt.Sprintf("%04x%012x", client+1, n), queue: []string{"orders", "reports"}[c.random.IntN(2)],
 			tasks: 1 + c.random.IntN(5), firstTryAt: time.Now(),
 		}
+		j.key = []string{"key-large", "key-large", "key-large", "key-small"}[c.random.IntN(4)]
+		if j.submitKey = j.key; c.random.IntN(5) == 0 {
+			j.submitKey += withdrawnSuffix
+		}
 		duration, cancel := 100+c.random.IntN(900), c.random.Float64() < cancelShare
 		payload := fmt.Sprintf("run:%dms", duration)
 		if c.random.Float64() < crashShare {
@@ -96,7 +110,7 @@
 		c.submit(ctx, j, fmt.Sprintf(`{"Spec":%q,"Steps":[{"Count":%d,"Cpu":500,"EstimatedMs":%d},{"Count":1,"Cpu":500,"EstimatedMs":100,"After":[0]}]}`, payload, j.tasks, duration))
 		if j.accepted && cancel {
 			j.cancelled = true
-			c.request(c.randomProcess(), http.MethodDelete, j.queue, j.id, "")
+			c.request(c.randomProcess(), http.MethodDelete, j.queue, j.id, j.key, "")
 		}
 		sleep(ctx, jobInterval)
 	}
@@ -113,9 +127,13 @@
 func (c *jobClient) submit(ctx context.Context, j *job, body string) {
 	refusals, tries := 0, 0
 	for ; tries < maxTries && !j.accepted; tries++ {
-		switch status, _ := c.request(c.randomProcess(), http.MethodPost, j.queue, j.id, body); {
+		sentAt := time.Now()
+		switch status, _ := c.request(c.randomProcess(), http.MethodPost, j.queue, j.id, j.submitKey, body); {
 		case status/100 == 2:
 			j.accepted = true
+			if at := c.withdrawnAt.Load(); at != nil && j.submitKey != j.key && sentAt.Sub(*at) > standin.ManifestBound() {
+				c.recordProblem("job %s was accepted with a key that had been withdrawn %v before", j.id, sentAt.Sub(*at))
+			}
 		case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
 			refusals++
 			sleep(ctx, 200*time.Millisecond)
@@ -148,7 +166,7 @@
 
 func (c *jobClient) queryState(j *job) {
 	p := c.randomProcess()
-	status, body := c.request(p, http.MethodGet, j.queue, j.id, "")
+	status, body := c.request(p, http.MethodGet, j.queue, j.id, j.key, "")
 	var report struct{ State string }
 	switch {
 	case status == http.StatusGone:
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -151,9 +152,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.manifestVersion += 2
+	suffixes, divisor := []string{"", withdrawnSuffix}, 1
+	if s.client != nil { // the faults have begun: keys are withdrawn, and caps fall and rise
+		suffixes, divisor = suffixes[:1], 1+s.manifestVersion/2%2
+	}
+	team := func(name string, limit int) string {
+		var keys []string
+		for _, suffix := range suffixes {
+			keys = append(keys, fmt.Sprintf(`"key-%s%s"`, name, suffix))
+		}
+		return fmt.Sprintf(`{"Name":%q,"ApiKeys":[%s],"Weight":1,"Cap":{"Cpu":%d}}`, name, strings.Join(keys, ","), limit/divisor)
+	}
 	s.platform.Put("op/config", []byte(fmt.Sprintf(`{"Version":%d,
 		"Routes":[{"Name":"orders","Host":"shop.example","Prefix":"/orders/","Service":"orders","MaxAttempts":2,"SlowdownFactor":2,"TargetLatencyMs":600},
 			{"Name":"reports","Host":"shop.example","Prefix":"/reports/","Service":"reports","MaxAttempts":2,"SlowdownFactor":2,"TargetLatencyMs":600}],
 		"Services":[{"Name":"orders","RejectsOverload":true},{"Name":"reports","RejectsOverload":true},{"Name":"spare","Standby":true}],
-		"Limits":{"MaxBodyBytes":65536}}`, s.manifestVersion)))
+		"Tenants":[%s,%s],
+		"Limits":{"MaxBodyBytes":65536}}`, s.manifestVersion, team("large", 8000), team("small", 2000))))
+	if s.client != nil && s.client.withdrawnAt.Load() == nil {
+		now := time.Now()
+		s.client.withdrawnAt.Store(&now)
+	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -141,6 +141,7 @@
 	r := rand.New(rand.NewPCG(seed, 1))
 	begin := time.Now()
 	sleep(s.ctx, 2*time.Second)
+	s.writeManifest() // withdraws keys
 	for n := uint64(0); s.ctx.Err() == nil; n++ {
 		f := faults[r.IntN(len(faults))]
 		s.injectedFaults = append(s.injectedFaults, fmt.Sprintf("%5.1f s  %s", time.Since(begin).Seconds(), f.name))
