--- a/table/heap.go
+++ b/table/heap.go
@@ -44,8 +44,14 @@
 	return priority
 }
 
-// Put adds the row or changes its priority.
+// Put adds the row or changes its priority. A deleted row that had the same slot is removed:
+// it could not be found any more, and would stay in front of all others.
 func (h *Heap[P]) Put(id ID, priority P) {
+	if slot := id.slot(); slot < len(h.positions) && h.positions[slot] != 0 {
+		if earlier := h.items[h.positions[slot]-1].id; earlier != id {
+			h.Remove(earlier)
+		}
+	}
 	h.seq++
 	item := heapItem[P]{priority: priority, seq: h.seq, id: id}
 	if i := h.find(id); i >= 0 {
--- a/table/order_test.go
+++ b/table/order_test.go
@@ -133,3 +133,21 @@
 	}, gen.SliceOf(gen.IntRange(0, 500))))
 	properties.TestingRun(t)
 }
+
+// Guards against an item that can neither be found nor removed, and stays the first of the
+// heap, because the slot of its deleted row was given to another row.
+func TestHeapDropsTheRowWhoseSlotIsReused(t *testing.T) {
+	var rows Table[int]
+	var h Heap[number]
+	earlier := rows.Insert(0)
+	h.Put(earlier, 1)
+	rows.Delete(earlier)
+	later := rows.Insert(0)
+	if later.slot() != earlier.slot() {
+		t.Fatalf("the rows %v and %v have different slots", earlier, later)
+	}
+	h.Put(later, 2)
+	if id, _, _ := h.Min(); id != later || h.Len() != 1 || !h.Remove(later) {
+		t.Errorf("the first of %d items is %v, want only the present row %v", h.Len(), id, later)
+	}
+}
