--- a/command/entry.go
+++ b/command/entry.go
@@ -16,7 +16,8 @@
 // entryFlags are the flags of waxwing-entry. Addresses and zone come from the
 // platform's settings file instead.
 type entryFlags struct {
-	LogLevel string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+	LogLevel     string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+	Interference string `help:"Whether placement keeps tasks apart that slow each other down: on or off." default:"on" enum:"on,off"`
 }
 
 // Entry runs waxwing-entry and returns its exit status. It logs to stdout, from
@@ -33,6 +34,7 @@
 		_, _ = fmt.Fprintf(stderr, "%s: %v\n", program, err) // a failed write to stderr cannot be reported
 		return exitFailure
 	}
+	settings.IgnoreInterference = flags.Interference == "off"
 	id := node.NewIncarnation()
 	lines := events.NewAsyncWriter(stdout)
 	logger := events.New(lines, log.ParseLevel(flags.LogLevel), settings.Node, id)
--- a/dispatch/indexes.go
+++ b/dispatch/indexes.go
@@ -116,6 +116,7 @@
 		step := stepOf(s, t)
 		run.longRunning, run.latencySensitive, run.bestEffort = step.LongRunning, step.LatencyTarget > 0, step.BestEffort
 		run.onProbation = t.onProbation()
+		run.kind = s.kindOf(t)
 	}
 	s.chargeTeam(&run)
 	id := s.Runs.Insert(run)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -7,6 +7,7 @@
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/interference"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/table"
 	"github.com/waxwingbridge/waxwingbridge/work"
@@ -255,6 +256,11 @@
 
 // bestCandidate returns the index of the best candidate for a task, or -1.
 func (s *State) bestCandidate(tick engine.Tick, stage *Stage, j *Job, step *work.Step, t *Task, candidates []candidate, rack string) int {
+	return s.bestOf(tick, stage, j, step, t, candidates, rack, s.partners(tick.Now, stage, j, step))
+}
+
+// bestOf is bestCandidate with the kinds beside which the task should not run.
+func (s *State) bestOf(tick engine.Tick, stage *Stage, j *Job, step *work.Step, t *Task, candidates []candidate, rack string, partners []interference.Partner) int {
 	best, bestScore := -1, 0.0
 	size := step.Reserved()
 	nearExists := false
@@ -269,7 +275,7 @@
 		if j.Spec.Limits.Advice.Needed() && !stage.ticketFor(c.w, tick.Now) {
 			continue
 		}
-		if score := c.score(step, t); best < 0 || score > bestScore {
+		if score := c.score(step, t) - s.interferenceCost(c.w, step, partners); best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -378,7 +384,7 @@
 // assembleGang returns the index of a candidate for each member, or nil if some
 // member fits nowhere.
 func (s *State) assembleGang(tick engine.Tick, stage *Stage, j *Job, step *work.Step, trial []candidate, rack string) []int {
-	counted := Stage{perWorker: map[table.ID]int{}, tickets: stage.tickets}
+	counted := Stage{Step: stage.Step, perWorker: map[table.ID]int{}, tickets: stage.tickets}
 	chosen := make([]int, len(stage.Tasks))
 	for i, taskID := range stage.Tasks {
 		t := s.Tasks.Get(taskID)
@@ -431,6 +437,10 @@
 		LeaseUntil: c.w.estimatedClock(tick.Now) + s.Config.MaxLease, Checkpoint: t.Checkpoint, Ticket: stage.tickets[c.w.ID].value,
 	}
 	c.w.leaseUntil = max(c.w.leaseUntil, order.LeaseUntil)
+	disturbance := s.interferenceCost(c.w, step, s.partners(tick.Now, stage, j, step))
+	if disturbance > 0 {
+		s.count("starts_beside_disturbing_kinds")
+	}
 	order.Run = s.insertRun(Run{
 		Task: taskID, Name: name, Number: number, Worker: c.id, State: RunOrdered, OrderedAt: tick.Now, Size: size,
 		progressAt: tick.Now, speed: fullSpeed,
@@ -444,7 +454,8 @@
 	s.count("starts")
 	s.log(events.RunOrdered, events.F("task", name.String()), events.F("run", number), events.F("worker", c.w.ID),
 		events.F("token", p.Token), events.F("waited_ms", tick.Now.Sub(t.ReadySince).Milliseconds()),
-		events.F("list_age_ms", tick.Now.Sub(c.w.lastListAt).Milliseconds()), events.F("free_millicores", c.free.MilliCores))
+		events.F("list_age_ms", tick.Now.Sub(c.w.lastListAt).Milliseconds()), events.F("free_millicores", c.free.MilliCores),
+		events.F("interference", disturbance))
 }
 
 func (stage *Stage) ticketFor(w *Worker, now time.Time) bool {
--- a/dispatch/systems.go
+++ b/dispatch/systems.go
@@ -12,6 +12,7 @@
 	{Name: "open occurrences that are due", Run: openScheduledOccurrences},
 	{Name: "unblock stages that are due", Run: unblockDueStages},
 	{Name: "evict workers under maintenance", Run: evictWorkers},
+	{Name: "observe interference", Run: observeInterference},
 	{Name: "place ready tasks", Run: placeTasks},
 	{Name: "stop runs", Run: stopRuns},
 	{Name: "adjust speed of best-effort runs", Run: adjustBestEffortSpeed},
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/events"
+	"github.com/waxwingbridge/waxwingbridge/interference"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -63,8 +64,9 @@
 	windowNeed          int                            // highest need in the current window
 	previousNeed        int                            // highest need in the previous window
 	windowStart         time.Time
-	unexplainedCrashAt  time.Time // last crash of a worker that no task explains
-	placementNeeded     bool      // set by any change since the last placement that may allow a start
+	interference        interference.Model // what the kinds of tasks do to each other
+	unexplainedCrashAt  time.Time          // last crash of a worker that no task explains
+	placementNeeded     bool               // set by any change since the last placement that may allow a start
 }
 
 // Job is an accepted job of an owned pool.
@@ -220,6 +222,11 @@
 	stopAnswerClock time.Duration // the worker's clock when it answered a stop; 0 before that
 	stopAnswered    bool
 	startedAt       time.Time // when the first proof of the run arrived
+	kind            interference.Kind
+	// observedPercent is the progress at observedAt, from which the next observation
+	// measures the speed.
+	observedPercent int
+	observedAt      time.Time
 	// brokenOff reports that the connection ended right after the start was ordered,
 	// as when the run crashes its worker before that can answer.
 	brokenOff bool
@@ -260,6 +267,7 @@
 	pollInFlight bool
 	nextPollAt   time.Time
 	lastListAt   time.Time // time of the last list of runs
+	observedAt   time.Time // last observation of the interference of its runs
 	failedPolls  int       // unanswered polls since the last list
 	silentSince  time.Time // first unanswered poll since the last list, or zero
 
@@ -374,6 +382,8 @@
 	OwnerLease time.Duration // longest time for which a replaced owner may still send orders
 	Retention  time.Duration // how long finished jobs stay visible
 	StopTime   time.Duration // how long a worker takes to stop a run
+	// IgnoreInterference leaves out of placement what tasks do to each other.
+	IgnoreInterference bool
 }
 
 // State holds the tables of the pools that this process owns.
@@ -422,6 +432,7 @@
 	leaving        table.Set             // workers whose machine is under, or due for, maintenance or a move
 	stopRequests   table.Set             // runs for which a stop is requested
 	bestEffortRuns table.Set
+	observable     table.Set // workers whose last list is to be observed
 	// underMaintenance and maintenancePending hold the workers and machines that were
 	// last reported, also those that are not in the tables yet.
 	underMaintenance   map[string]bool
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -227,6 +227,7 @@
 		s.endUnlistedRuns(tick, id, clock, listed)
 	}
 	s.schedulePoll(id, tick.Now.Add(pollGap))
+	s.noteObservable(tick.Now, id)
 }
 
 // applyRunStatus records one running run of a list and returns its row.
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -81,7 +81,7 @@
 	s.Ownership.Millicores = settings.Millicores
 	s.Dispatch = dispatch.New(dispatch.Config{
 		MaxLease: min(settings.Bounds.MaxLease, runLease), OwnerLease: ownership.LeaseTTL, Retention: settings.Bounds.StatusRetention,
-		StopTime: settings.Bounds.StopTime,
+		StopTime: settings.Bounds.StopTime, IgnoreInterference: settings.IgnoreInterference,
 	}, &s.Mirror, nextWrite, timeOfDay)
 	s.Dispatch.IsPool = nil // until there is a manifest
 	s.Intake = intake.New(&s.Mirror, nextWrite)
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -140,6 +140,8 @@
 	MachineRowInvalid        = Event{868, log.WarnLevel, "row of the machine list was left out"}
 	StoreReadInFull          = Event{869, log.InfoLevel, "all keys of a watch were read again"}
 	WorkerKept               = Event{870, log.InfoLevel, "surplus worker was taken back for a waiting stage"}
+	InterferenceFound        = Event{873, log.InfoLevel, "kind of tasks slows another one down"}
+	InterferenceEnded        = Event{874, log.InfoLevel, "kind of tasks no longer slows another one down"}
 	LogsDropped              = Event{864, log.WarnLevel, "log records were dropped"}
 )
 
@@ -163,6 +165,6 @@
 		WorkerDraining, WorkerUnregistered, WorkerIncarnationEnded, WorkerLeasesExpired, OrderFenced, WorkerUnfit,
 		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
 		MachinesUnavailable, MaintenanceNotSaved, PoolsDivided, ManifestInForce, StoreEntryInvalid, LeaseCallFailed, SettingsReloaded,
-		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, StoreReadInFull, WorkerKept, MachineMovePlanned, MachineMoveOrdered,
+		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, StoreReadInFull, WorkerKept, InterferenceFound, InterferenceEnded, MachineMovePlanned, MachineMoveOrdered,
 	}
 }
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -38,16 +39,16 @@
 	keptEffect = 0.07
 	// certainty is how many standard deviations an effect must lie above minEffect.
 	certainty = 1.5
-	// minWorkers and minJobs are the numbers of workers and of disturbed jobs on which an
-	// effect must be seen before a kind is charged with it. One slow worker, or one slow job,
-	// is not enough.
+	// minWorkers and minJobs are the numbers of workers, and of pairs of a disturbed and a
+	// disturbing job, on which an effect must be seen before a kind is charged with it. One
+	// slow worker, or one odd job, is not enough.
 	minWorkers = 3
 	minJobs    = 2
 	// witnessMemory is how long such evidence counts.
 	witnessMemory = 45 * time.Second
 	// minWeight is the weight from which a kind beside a task can be held responsible.
 	minWeight = 0.5
-	maxWeight = 3.0
+	maxWeight = 1.0
 	// minCommon is the change of all kinds on a worker from which it is put down to the worker.
 	minCommon = 0.4
 	// fullFrom is the used share of a worker from which it may be slow because it is full.
@@ -129,6 +130,9 @@
 	return false
 }
 
+// jobPair is a disturbed and a disturbing job.
+type jobPair struct{ victim, disturber uint64 }
+
 // kind is what is known of a Kind.
 type kind struct {
 	key      Kind
@@ -140,7 +144,7 @@
 	pairs    []table.ID
 	// The evidence of effects on other kinds.
 	workers witnesses[string]
-	jobs    witnesses[uint64]
+	jobs    witnesses[jobPair]
 	teams   witnesses[string] // teams whose tasks of the kind had an effect
 }
 
@@ -338,7 +342,7 @@
 			continue
 		}
 		d.workers.add(now, w.name)
-		d.jobs.add(now, g.job)
+		d.jobs.add(now, jobPair{g.job, beside.job})
 		if !beside.manyTeams {
 			d.teams.add(now, beside.team)
 		}
@@ -434,3 +438,11 @@
 func (m *Model) Sizes() (kinds, pairs, believed int) {
 	return m.kinds.Len(), m.pairs.Len(), m.believed
 }
+
+// String returns the form queue/image or queue/step N, as used in logs.
+func (k Kind) String() string {
+	if k.Image != "" {
+		return k.Queue + "/" + k.Image
+	}
+	return k.Queue + "/step " + strconv.Itoa(k.Step)
+}
