--- a/dispatch/interference_test.go
+++ b/dispatch/interference_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,7 +91,10 @@
 			batch := step(4)
 			batch.Image, batch.Estimate = tr.images[random.IntN(len(tr.images))], trialRunTime
 			batch.Size = placement.Resources{MilliCores: 1000, MemoryMB: 100}
-			batch.BestEffort = batch.Image == "scan"
+			batch.BestEffort = strings.HasPrefix(batch.Image, "scan")
+			if batch.BestEffort { // memory bounds how many share a worker
+				batch.Size.MemoryMB = 1000
+			}
 			j := job(batch)
 			j.ID = fmt.Sprintf("b%d", jobs)
 			images[j.ID], submitted[j.ID] = batch.Image, w.now
@@ -192,7 +196,7 @@
 				return 1
 			}
 			return 0
-		}, images: []string{"calm", "scan"}, perSecond: 5, everywhere: true}, 1.02, 99},
+		}, images: []string{"scan", "scan-calm"}, perSecond: 6, everywhere: true}, 1.02, 99},
 		{interferenceTrial{name: "disturbs until half time", effect: func(at time.Duration, serving, image string) float64 {
 			if at < 20*time.Second {
 				return grinding(at, serving, image)
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -49,8 +49,6 @@
 	// minWeight is the weight from which a kind beside a task can be held responsible.
 	minWeight = 0.5
 	maxWeight = 1.0
-	// minCommon is the change of all kinds on a worker from which it is put down to the worker.
-	minCommon = 0.4
 	// fullFrom is the used share of a worker from which it may be slow because it is full.
 	fullFrom = 0.7
 )
@@ -202,9 +200,6 @@
 	w := m.worker(now, name)
 	w.slow.age(now, workerPrior)
 	m.full.age(now, fullPrior)
-	if m.adjustWorker(w) {
-		return
-	}
 	for i := range m.groups {
 		if m.groups[i].measured > 0 {
 			m.observeGroup(now, w, used, i)
@@ -212,42 +207,6 @@
 	}
 }
 
-// adjustWorker puts a change that all kinds on a worker show alike down to the worker, and
-// reports whether there was one. A kind that slows others does not slow itself; where one of
-// the kinds was not measured, that can't be told, and the fit decides.
-func (m *Model) adjustWorker(w *worker) bool {
-	least, most, n := math.Inf(1), math.Inf(-1), 0
-	for i := range m.groups {
-		g := &m.groups[i]
-		k := m.kinds.Get(g.kind)
-		if g.measured == 0 {
-			return false
-		}
-		if k.base.at.IsZero() || k.base.variance > noise {
-			continue
-		}
-		rest := g.cost/float64(g.measured) - k.base.mean - w.slow.mean
-		for j := range m.groups {
-			if id, ok := m.pairByKey.Get(pairKey{g.kind, m.groups[j].kind}); ok && j != i {
-				effect, _ := m.effect(k, m.kinds.Get(m.groups[j].kind), m.pairs.Get(id))
-				rest -= effect * m.groups[j].weight
-			}
-		}
-		least, most, n = min(least, rest), max(most, rest), n+1
-	}
-	switch {
-	case n < 2:
-		return false
-	case least > minCommon:
-		w.slow.mean += least
-	case most < -minCommon:
-		w.slow.mean += most
-	default:
-		return false
-	}
-	return true
-}
-
 // group sums the tasks by kind. Only the kinds of the largest weights are kept.
 func (m *Model) group(now time.Time, tasks []Task) {
 	m.groups = m.groups[:0]
