--- a/admission/rules.go
+++ b/admission/rules.go
@@ -80,10 +80,6 @@
 // away for the others.
 func (in *Inputs) overShare() bool { return in.PoolShare > overShareFactor*in.OwedShare }
 
-// poolFull reports whether a new job is expected to be late in the pool. Shares count only
-// there: while there is room, a team may use what the others leave.
-func (in *Inputs) poolFull() bool { return in.PoolWait > in.Allowed }
-
 // room returns the longest wait with which the job is accepted.
 func (in *Inputs) room() time.Duration {
 	if in.Due {
@@ -114,7 +110,7 @@
 		return TeamAtCap
 	case !in.CapacityKnown:
 		return None
-	case in.Listed && in.overShare() && in.poolFull() && in.ShareWait > in.room():
+	case in.Listed && in.overShare() && in.SureWait > in.room():
 		return TeamOverShare
 	case in.SureWait > overloadFactor*in.Objective:
 		return PoolOverloaded
@@ -130,7 +126,7 @@
 	case TeamAtCap:
 		return in.CapWait - in.room()
 	case TeamOverShare:
-		return min(in.ShareWait-in.room(), in.PoolWait-in.Allowed)
+		return in.SureWait - in.room()
 	default:
 		return in.SureWait - overloadFactor*in.Objective
 	}
--- a/command/entry.go
+++ b/command/entry.go
@@ -16,8 +16,9 @@
 // entryFlags are the flags of waxwing-entry. Addresses and zone come from the
 // platform's settings file instead.
 type entryFlags struct {
-	LogLevel string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
-	Forecast bool   `help:"Learn the turns of each pool's demand, and order machines ahead of them." env:"WAXWING_FORECAST"`
+	LogLevel     string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+	Forecast     bool   `help:"Learn the turns of each pool's demand, and order machines ahead of them." env:"WAXWING_FORECAST"`
+	Interference bool   `help:"Keep tasks apart that slow each other down." env:"WAXWING_INTERFERENCE"`
 }
 
 // Entry runs waxwing-entry and returns its exit status. It logs to stdout, from
@@ -39,7 +40,7 @@
 	logger := events.New(lines, log.ParseLevel(flags.LogLevel), settings.Node, id)
 	return runApp(program, entry.MaxStopTime, stderr,
 		fx.Provide(func() *entry.Process {
-			p := entry.New(settings, entry.Features{Forecast: flags.Forecast}, logger, id)
+			p := entry.New(settings, entry.Features{Forecast: flags.Forecast, Interference: flags.Interference}, logger, id)
 			p.DroppedLines, p.Reload = lines.Dropped, reload
 			return p
 		}),
--- a/dispatch/systems.go
+++ b/dispatch/systems.go
@@ -12,6 +12,7 @@
 	{Name: "open occurrences that are due", Run: openScheduledOccurrences},
 	{Name: "unblock stages that are due", Run: unblockDueStages},
 	{Name: "evict workers under maintenance", Run: evictWorkers},
+	{Name: "observe interference", Run: observeInterference},
 	{Name: "forgive slow workers", Run: forgiveSlowWorkers},
 	{Name: "restart runs of slow workers", Run: restartSlowRuns},
 	{Name: "place ready tasks", Run: placeTasks},
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -13,6 +13,7 @@
 	"github.com/waxwingbridge/waxwingbridge/estimate"
 	"github.com/waxwingbridge/waxwingbridge/events"
 	"github.com/waxwingbridge/waxwingbridge/forecast"
+	"github.com/waxwingbridge/waxwingbridge/interference"
 	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/placement"
 	"github.com/waxwingbridge/waxwingbridge/table"
@@ -69,8 +70,9 @@
 	windowNeed          int // highest need in the current window
 	previousNeed        int // highest need in the previous window
 	windowStart         time.Time
-	unexplainedCrashAt  time.Time // last crash of a worker that no task explains
-	placementNeeded     bool      // set by any change since the last placement that may allow a start
+	interference        interference.Model // what the kinds of tasks do to each other
+	unexplainedCrashAt  time.Time          // last crash of a worker that no task explains
+	placementNeeded     bool               // set by any change since the last placement that may allow a start
 }
 
 // Job is an accepted job of an owned pool.
@@ -242,6 +244,11 @@
 	ratedClock   time.Duration
 	ratedPercent int
 	slow         bool // by its last rate
+	kind         interference.Kind
+	// observedPercent is the progress at observedAt, from which the next observation
+	// measures the speed.
+	observedPercent int
+	observedAt      time.Time
 	// brokenOff reports that the connection ended right after the start was ordered,
 	// as when the run crashes its worker before that can answer.
 	brokenOff bool
@@ -282,6 +289,7 @@
 	pollInFlight bool
 	nextPollAt   time.Time
 	lastListAt   time.Time // time of the last list of runs
+	observedAt   time.Time // last observation of the interference of its runs
 	failedPolls  int       // unanswered polls since the last list
 	silentSince  time.Time // first unanswered poll since the last list, or zero
 
@@ -404,6 +412,8 @@
 	StopTime   time.Duration // how long a worker takes to stop a run
 	// Forecast has the pools learn the turns of their demand and order machines ahead.
 	Forecast bool
+	// IgnoreInterference leaves out of placement what tasks do to each other.
+	IgnoreInterference bool
 }
 
 // State holds the tables of the pools that this process owns.
@@ -467,6 +477,7 @@
 	bestEffortRuns table.Set
 	slowWorkers    table.Set
 	restartsAt     time.Time // next search for runs to restart
+	observable     table.Set // workers whose last list is to be observed
 	// underMaintenance and maintenancePending hold the workers and machines that were
 	// last reported, also those that are not in the tables yet.
 	underMaintenance   map[string]bool
--- a/entry/process.go
+++ b/entry/process.go
@@ -128,6 +128,8 @@
 type Features struct {
 	// Forecast learns the turns of each pool's demand and orders machines ahead of them.
 	Forecast bool
+	// Interference keeps tasks apart that slow each other down on one worker.
+	Interference bool
 }
 
 // New returns a process that has not been started.
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -86,7 +86,7 @@
 	s.Ownership.Millicores = settings.Millicores
 	s.Dispatch = dispatch.New(dispatch.Config{
 		MaxLease: min(settings.Bounds.MaxLease, runLease), OwnerLease: ownership.LeaseTTL, Retention: settings.Bounds.StatusRetention,
-		StopTime: settings.Bounds.StopTime, Forecast: features.Forecast,
+		StopTime: settings.Bounds.StopTime, Forecast: features.Forecast, IgnoreInterference: !features.Interference,
 	}, &s.Mirror, nextWrite, timeOfDay)
 	s.Dispatch.IsPool = nil // until there is a manifest
 	s.Intake = intake.New(&s.Mirror, nextWrite)
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -152,6 +152,8 @@
 	ForecastLearnt           = Event{875, log.InfoLevel, "period of a pool's demand was learnt"}
 	ForecastLost             = Event{876, log.InfoLevel, "period of a pool's demand is no longer believed"}
 	ClientsLimited           = Event{882, log.WarnLevel, "limits for clients closed connections or refused requests"}
+	InterferenceFound        = Event{883, log.InfoLevel, "kind of tasks slows another one down"}
+	InterferenceEnded        = Event{884, log.InfoLevel, "kind of tasks no longer slows another one down"}
 	LogsDropped              = Event{864, log.WarnLevel, "log records were dropped"}
 )
 
@@ -179,5 +181,6 @@
 		AllotmentChanged, AllotmentNotSaved, CapWaitBegan, CapWaitEnded,
 		ForecastLearnt, ForecastLost,
 		ClientsLimited,
+		InterferenceFound, InterferenceEnded,
 	}
 }
