--- a/quota/sheet.go
+++ b/quota/sheet.go
@@ -182,7 +182,6 @@
 		sum += claims[i]
 	}
 	if sum <= c.cap {
-		c.addHeadroom(claims, c.cap-sum)
 		return claims, true
 	}
 	wanted := make([]int, len(claims))
@@ -215,25 +214,6 @@
 	return claims, false
 }
 
-// headroomShare is the part of the room that nobody claims, as a divisor, that goes to the
-// partitions in which tasks wait, beyond what they need. A team whose demand rises there
-// would otherwise wait for each further version of the allotment.
-const headroomShare = 2
-
-// addHeadroom adds a part of the unclaimed room to the claims of partitions in which tasks
-// wait.
-func (c *column) addHeadroom(claims []int, unclaimed int) {
-	var waiting []int
-	for i := range claims {
-		if *c.of(&c.t.waiting[i]) > 0 {
-			waiting = append(waiting, i)
-		}
-	}
-	for _, i := range waiting {
-		claims[i] += unclaimed / headroomShare / len(waiting)
-	}
-}
-
 // turnInterval is how long a partition comes first among those whose even share is too small
 // for a task. It covers the time until the owners obey and start the task.
 const turnInterval = time.Second
