--- a/entry/admission_test.go
+++ b/entry/admission_test.go
@@ -59,7 +59,7 @@
 		records(ledger.Put{Key: ledger.Key{Kind: ledger.KindDemand, Name: name}, Content: &work.Demand{Need: 1, Have: 2}})
 	}
 	tick.Now = tick.Now.Add(time.Second)
-	for i := range 60 {
+	for i := range 200 {
 		id := fmt.Sprint("job-", i)
 		records(ledger.Put{Key: ledger.Key{Kind: ledger.KindJob, Name: id}, Content: job(id, "large")})
 	}
@@ -73,7 +73,7 @@
 		t.Fatalf("the answer is %v for %v, inputs %+v", got.Outcome, got.Reason, got.Inputs)
 	}
 	in := got.Inputs
-	if in.Weight != 1 || in.OwedShare != 0.5 || in.TeamWork != 600 || in.PoolWork != 610 || in.Capacity != 40 || in.Spare != 20 || !in.CapacityKnown ||
+	if in.Weight != 1 || in.OwedShare != 0.5 || in.TeamWork != 2000 || in.PoolWork != 2010 || in.Capacity != 40 || in.Spare != 20 || !in.CapacityKnown ||
 		in.MirrorAge != 0 || in.ReportAge != 1050*time.Millisecond {
 		t.Errorf("the inputs are %+v", in)
 	}
