--- a/admission/admission.go
+++ b/admission/admission.go
@@ -49,13 +49,13 @@
 	PoolOverloaded               // the pool can't serve the job before it is worth nothing
 )
 
-// IsTeams reports whether the reason is the team's own use. Another process would decide
+// ConcernsTeam reports whether the reason is the team's own use. Another process would decide
 // alike.
-func (r Reason) IsTeams() bool { return r == TeamAtCap || r == TeamOverShare }
+func (r Reason) ConcernsTeam() bool { return r == TeamAtCap || r == TeamOverShare }
 
-// IsLoads reports whether the submission was rejected for the load, not for the state of
+// ConcernsLoad reports whether the submission was rejected for the load, not for the state of
 // the store.
-func (r Reason) IsLoads() bool { return r >= TeamAtCap }
+func (r Reason) ConcernsLoad() bool { return r >= TeamAtCap }
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -14,9 +14,8 @@
 	// overloadCheckInterval is the shortest interval between two checks, which visit the
 	// ready stages that can be in time, and the runs, of a pool.
 	overloadCheckInterval = 50 * time.Millisecond
-	// overloadFrom and overloadUntil are the loads between which the order is kept. In trials
-	// with seeds 1 to 8, 1.3 gave more benefit than 1.0 and 1.7: below it, estimates that are
-	// off decide more than the order.
+	// overloadFrom and overloadUntil are the loads between which the order is kept. Below
+	// overloadFrom, estimates that are off decide more than the order.
 	overloadFrom  = 1.3
 	overloadUntil = 1.0
 	// minOverloadTime is how long an order is kept at least, since a change moves all
--- a/intake/submissions.go
+++ b/intake/submissions.go
@@ -59,7 +59,7 @@
 	}
 	decision := s.Admission.Decide(tick.Now, r.submission(tick.Now))
 	switch {
-	case decision.Reason.IsLoads():
+	case decision.Reason.ConcernsLoad():
 		rejection := decision
 		r.rejection = &rejection
 		s.Requests.Insert(r)
