--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -14,6 +14,7 @@
 	cases[7] = caseSpec{minions: 9, capacity: capacity, route: advice, play: adviceAfterLoss}
 	cases[8] = caseSpec{minions: 12, capacity: capacity, play: avoidedMinion}
 	cases[9] = caseSpec{minions: 9, capacity: capacity, play: leftMinionAndRoll}
+	cases[10] = caseSpec{minions: 9, capacity: capacity, play: bornBefore}
 }
 
 func batch(count, cpu int, took time.Duration) step {
@@ -170,3 +171,32 @@
 	}
 	return nil
 }
+
+// bornBefore: the time of day of a machine is ahead when its minion starts, and jumps back
+// soon after. The minion crashes and is back at once: its new life states an earlier start
+// than the one before. A job that needs this minion must run there.
+func bornBefore(w *world) (bool, error) {
+	const ahead = 2400 * time.Millisecond
+	time.Sleep(6 * time.Second)
+	only := w.minions[8]
+	for _, step := range []time.Duration{ahead, 0} {
+		w.end(only, "crashes")
+		time.Sleep(500 * time.Millisecond)
+		if w.trouble {
+			only.ahead = step
+			w.record.printf("the time of day of machine %s is %v ahead", only.machine, step)
+		}
+		if err := w.restart(only); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Second)
+	}
+	time.Sleep(10 * time.Second)
+	st := batch(2, 3800, 2100*time.Millisecond)
+	st.Requirements = only.rack
+	j, err := w.client.submit("00000000000000a1", st)
+	if err != nil {
+		return false, err
+	}
+	return w.longestWait(j, 30*time.Second, 0) < lostAfter, nil
+}
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -62,7 +62,8 @@
 	sequence int
 	draining bool
 	gone     bool
-	failing  bool // all runs that it starts fail
+	failing  bool          // all runs that it starts fail
+	ahead    time.Duration // of the machine's time of day when it started
 }
 
 // clock is the minion's steady clock, which does not begin at zero.
@@ -103,7 +104,7 @@
 		"Service": m.site.service, "Address": m.address, "Zone": "z1", "Version": "v1", "Slots": 8, "State": state,
 		"ColdRemainingMs": 0, "Machine": m.machine, "Labels": []string{"a", m.rack}, "Sequence": m.sequence,
 		"Capacity": map[string]int{"Cpu": m.capacity.cpu, "MemoryRequestMb": m.capacity.memory, "Gpu": 0},
-		"ClockMs":  m.clock().Milliseconds(), "born": m.born.UnixMilli(),
+		"ClockMs":  m.clock().Milliseconds(), "born": m.born.Add(m.ahead).UnixMilli(),
 	})
 	return value
 }
@@ -146,7 +147,7 @@
 func (m *minion) answer(path string, o *order) (int, map[string]any) {
 	m.site.mu.Lock()
 	defer m.site.mu.Unlock()
-	answer := map[string]any{"ClockMs": m.clock().Milliseconds(), "born": m.born.UnixMilli()}
+	answer := map[string]any{"ClockMs": m.clock().Milliseconds(), "born": m.born.Add(m.ahead).UnixMilli()}
 	reason := ""
 	switch {
 	case o.FencingToken < m.token:
@@ -248,7 +249,7 @@
 	for _, e := range m.ends[:min(len(m.ends), endsPerAnswer)] {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
 	}
-	return map[string]any{"ClockMs": m.clock().Milliseconds(), "born": m.born.UnixMilli(), "Running": running, "Finished": finished}
+	return map[string]any{"ClockMs": m.clock().Milliseconds(), "born": m.born.Add(m.ahead).UnixMilli(), "Running": running, "Finished": finished}
 }
 
 // advance ends the runs whose time has come.
