Let the stand-in of the second review cut minions off from the store

Minions have a zone, and answer after the time of a call on the links of the site. Case 6 is now TWICE, by a minion that starts again behind a cut; the job that is failed for crashes is case 10, and the earlier start stays as case 11 without a folder.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -10,11 +11,12 @@
 func init() {
 	capacity := size{32000, 65536}
 	advice := map[string]any{"Advice": map[string]int{"DecisionMs": 20, "PeriodMs": 5, "ValidityMs": 3000}}
-	cases[6] = caseSpec{minions: 9, capacity: capacity, play: crashesCountAsFailures}
+	cases[6] = caseSpec{minions: 9, capacity: capacity, play: rebornBehindCut}
 	cases[7] = caseSpec{minions: 9, capacity: capacity, route: advice, play: adviceAfterLoss}
 	cases[8] = caseSpec{minions: 12, capacity: capacity, play: avoidedMinion}
 	cases[9] = caseSpec{minions: 9, capacity: capacity, play: leftMinionAndRoll}
-	cases[10] = caseSpec{minions: 9, capacity: capacity, play: bornBefore}
+	cases[10] = caseSpec{minions: 9, capacity: capacity, play: crashesCountAsFailures}
+	cases[11] = caseSpec{minions: 9, capacity: capacity, play: bornBefore} // has no folder
 }
 
 func batch(count, cpu int, took time.Duration) step {
@@ -128,15 +130,7 @@
 		return false, err
 	}
 	time.Sleep(8 * time.Second)
-	var leaves *minion
-	w.mu.Lock()
-	for _, m := range w.minions {
-		if leaves == nil || len(m.runs) > len(leaves.runs) {
-			leaves = m
-		}
-	}
-	w.mu.Unlock()
-	w.leave(leaves, 5*time.Second)
+	w.leave(w.busiest(func(*minion) bool { return true }), 5*time.Second)
 	done := make(chan error, 1)
 	go func() { done <- w.roll() }()
 	longest := w.longestWait(j, 30*time.Second, lastingGrace)
@@ -146,6 +140,93 @@
 	return longest < lostAfter, nil
 }
 
+// rebornBehindCut: a minion is cut off from the store, crashes behind the cut and starts
+// again under its ID. The owner of the pool goes on giving it work, and is then stopped as
+// planned, as is its successor. That is played until the rule breaks, three times at most.
+func rebornBehindCut(w *world) (bool, error) {
+	const rounds, cutFor = 3, 5 * time.Second
+	time.Sleep(4 * time.Second)
+	for round := range rounds {
+		if _, err := w.client.submit(fmt.Sprintf("000000000000a%03d", round), batch(9, 3800, 5*time.Second)); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Second)
+		struck := w.busiest(func(m *minion) bool { return m.zone != entryZone })
+		healed := time.Now().Add(cutFor)
+		if w.trouble {
+			w.cutOff(struck, true)
+			w.end(struck, "crashes")
+			time.Sleep(100 * time.Millisecond)
+			if err := w.restart(struck); err != nil {
+				return false, err
+			}
+		}
+		time.Sleep(1700 * time.Millisecond)
+		if _, err := w.client.submit(fmt.Sprintf("000000000000b%03d", round), batch(24, 3800, 5*time.Second)); err != nil {
+			return false, err
+		}
+		ended := make(chan error, 2)
+		for range cap(ended) {
+			time.Sleep(300 * time.Millisecond)
+			w.stopOwner(ended)
+			time.Sleep(700 * time.Millisecond)
+		}
+		time.Sleep(time.Until(healed))
+		w.cutOff(struck, false)
+		for range cap(ended) {
+			if err := <-ended; err != nil {
+				return false, err
+			}
+		}
+		if w.starts() > 0 {
+			return false, nil
+		}
+		time.Sleep(2500 * time.Millisecond)
+	}
+	return true, nil
+}
+
+// busiest returns the minion with the most runs among those that are meant.
+func (w *world) busiest(meant func(*minion) bool) *minion {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.MaxFunc(w.minions, func(a, b *minion) int {
+		switch {
+		case meant(a) && meant(b):
+			return len(a.runs) - len(b.runs)
+		case meant(a):
+			return 1
+		default:
+			return -1
+		}
+	})
+}
+
+// starts returns the number of starts that broke TWICE.
+func (w *world) starts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.twice
+}
+
+// stopOwner stops the process that owns the pool as planned, and starts it again.
+func (w *world) stopOwner(ended chan<- error) {
+	owner := string(w.store.Get("waxwing/owner/" + w.service))
+	for _, p := range w.entries {
+		if strings.Contains(owner, `"`+p.name+`"`) {
+			w.record.printf("SIGTERM to %s, the owner of the pool", p.name)
+			_ = p.command.Process.Signal(syscall.SIGTERM) // it runs
+			go func() {
+				_ = p.command.Wait() // it reports how the process has ended
+				ended <- p.start()
+			}()
+			return
+		}
+	}
+	w.record.printf("the pool has no owner now")
+	ended <- nil
+}
+
 // roll stops and starts the processes in turn, with a pause between the stops.
 func (w *world) roll() error {
 	const pause = 2 * time.Second
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -16,7 +16,10 @@
 	stopTime          = 150 * time.Millisecond // below StopMs
 	advanceInterval   = 5 * time.Millisecond
 	endsPerAnswer     = 500
-	servingPercent    = 100
+	// inZone and crossZone are the times of a call and its answer on the links of the site.
+	inZone         = 400 * time.Microsecond
+	crossZone      = time.Millisecond
+	servingPercent = 100
 )
 
 // size is an amount of a minion's resources.
@@ -49,6 +52,7 @@
 	id       string
 	machine  string
 	rack     string
+	zone     string
 	capacity size
 	address  string
 	server   *http.Server
@@ -61,6 +65,7 @@
 	refused  map[string]int // by subtask: the highest run that was stopped or has ended
 	sequence int
 	draining bool
+	cut      bool // from the store
 	gone     bool
 	failing  bool          // all runs that it starts fail
 	ahead    time.Duration // of the machine's time of day when it started
@@ -83,7 +88,10 @@
 }
 
 func (m *minion) listen() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if m.address == "" {
+		m.address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", m.address)
 	if err != nil {
 		return err
 	}
@@ -101,7 +109,7 @@
 		state = "draining"
 	}
 	value, _ := json.Marshal(map[string]any{ // cannot fail: the map holds plain values
-		"Service": m.site.service, "Address": m.address, "Zone": "z1", "Version": "v1", "Slots": 8, "State": state,
+		"Service": m.site.service, "Address": m.address, "Zone": m.zone, "Version": "v1", "Slots": 8, "State": state,
 		"ColdRemainingMs": 0, "Machine": m.machine, "Labels": []string{"a", m.rack}, "Sequence": m.sequence,
 		"Capacity": map[string]int{"Cpu": m.capacity.cpu, wire["memory"]: m.capacity.memory, "Gpu": 0},
 		"ClockMs":  m.clock().Milliseconds(), "born": m.born.Add(m.ahead).UnixMilli(),
@@ -134,6 +142,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if time.Sleep(inZone); m.zone != entryZone {
+		time.Sleep(crossZone - inZone)
+	}
 	status, answer := m.answer(r.URL.Path, &o)
 	if status == http.StatusOK && r.URL.Path == wire["hold"] {
 		m.waitForEnd(r, time.Duration(o.WaitMs)*time.Millisecond)
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -28,6 +28,7 @@
 	policy  func(minion string) bool
 	decide  time.Duration // of the advice service, a call
 	turn    sync.Mutex    // the advice service handles one call at a time
+	twice   int           // starts of a subtask that ran or was done
 }
 
 // job is a job that a client has handed in.
@@ -64,11 +65,17 @@
 	return s, nil
 }
 
+// entryZone is the zone of the processes.
+const entryZone = "z1"
+
+// zones are those of the minions.
+var zones = []string{"z2", "z2", "z2", entryZone, entryZone, entryZone, entryZone, "z2", entryZone}
+
 // addMinions starts n minions, four a rack.
 func (s *site) addMinions(n int, capacity size) error {
 	for i := range n {
 		m := &minion{
-			site: s, id: fmt.Sprintf("i-%02d", i+1), machine: fmt.Sprintf("m-%02d", i+1), rack: fmt.Sprintf("r1-%d", i/4+1),
+			site: s, id: fmt.Sprintf("i-%02d", i+1), machine: fmt.Sprintf("m-%02d", i+1), rack: fmt.Sprintf("r1-%d", i/4+1), zone: zones[i%len(zones)],
 			capacity: capacity, born: time.Now(), refused: map[string]int{},
 		}
 		if err := m.listen(); err != nil {
@@ -89,9 +96,9 @@
 	silent := 0
 	for range time.Tick(heartbeatInterval) {
 		s.mu.Lock()
-		gone, value := m.gone, m.entry()
+		silenced, value := m.gone || m.cut, m.entry()
 		s.mu.Unlock()
-		if silent++; !gone {
+		if silent++; !silenced {
 			silent = 0
 			s.store.Put("servers/"+m.id, value)
 		}
@@ -133,11 +140,21 @@
 	if err := m.listen(); err != nil {
 		return err
 	}
-	s.store.Put("servers/"+m.id, m.entry())
+	if !m.cut {
+		s.store.Put("servers/"+m.id, m.entry())
+	}
 	s.record.printf("minion %s is back", m.id)
 	return nil
 }
 
+// cutOff cuts a minion off from the store, or ends the cut.
+func (s *site) cutOff(m *minion, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.cut = cut
+	s.record.printf("minion %s is cut off from the store: %t", m.id, cut)
+}
+
 // leave has a minion report that it drains, and ends it when it has served for a time.
 func (s *site) leave(m *minion, after time.Duration) {
 	s.mu.Lock()
@@ -199,11 +216,9 @@
 
 func (s *site) startedRun(m *minion, r *run) {
 	h := s.historyOf(r.task)
-	if h.running > 0 {
-		s.record.printf("TWICE %s run %d on %s beside another run", r.task, r.number, m.id)
-	}
-	if h.done {
-		s.record.printf("TWICE %s run %d on %s after an end done", r.task, r.number, m.id)
+	if h.running > 0 || h.done {
+		s.twice++
+		s.record.printf("TWICE: %s run %d on %s, beside another run or after an end done", r.task, r.number, m.id)
 	}
 	h.running++
 }
@@ -259,7 +274,7 @@
 	defer s.mu.Unlock()
 	list := []map[string]any{}
 	for _, m := range s.minions {
-		row := map[string]any{"Machine": m.machine, "Pool": s.service, "State": "up", "Zone": "z1", "Labels": []string{"a", m.rack}, "Id": m.id}
+		row := map[string]any{"Machine": m.machine, "Pool": s.service, "State": "up", "Zone": m.zone, "Labels": []string{"a", m.rack}, "Id": m.id}
 		row["Capacity"] = map[string]int{"Cpu": m.capacity.cpu, wire["memory"]: m.capacity.memory, "Gpu": 0}
 		if m.gone {
 			row["State"] = "down"
