Wait for the answer of every contact, whatever incarnation is listed

Cause: reconcilePools waited only for contacts whose incarnation equalled that of the registry, which was behind.

Now only the worker's own answer to the new owner, or the end of the leases, settles a contact. That holds for every difference between contact, registry and answer. Paths with the same cause that are fixed with it: the lists of the first answer of a new incarnation are applied at once and not read again later; a poll after a lost contact acknowledges no ends, whose numbers start anew; a contact stays among the stored ones until the pool is reconciled. Looked at without a finding: workers that are removed from the registry, later workers on the same machine, 421 of another worker at the address.

--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -114,7 +114,8 @@
 		}
 		s.loadContacts(tick.Now, id)
 		s.log(events.PoolLoaded, events.F("pool", s.Pools.Get(id).Name), events.F("jobs", s.Jobs.Len()), events.F("tasks", s.Tasks.Len()),
-			events.F("contacts", len(s.Pools.Get(id).Contacts)), events.F("store_revision", s.Mirror.Revision))
+			events.F("contacts", len(s.Pools.Get(id).Contacts)), events.F("contacts_ahead", s.contactsAhead(id)),
+			events.F("store_revision", s.Mirror.Revision))
 	}
 	for _, row := range changed {
 		s.syncJob(tick, row)
@@ -158,6 +159,18 @@
 	}
 }
 
+// contactsAhead returns how many contacts name a later incarnation of a worker than its
+// registry entry: the worker has restarted and does not reach the store.
+func (s *State) contactsAhead(id table.ID) int {
+	ahead := 0
+	for _, contact := range s.Pools.Get(id).Contacts {
+		if worker, ok := s.workerByID.Get(contact.Worker); ok && s.Workers.Get(worker).Incarnation < contact.Incarnation {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // partition returns the name of the partition that a worker belongs to.
 func (s *State) partition(w *Worker) string { return s.Partitions.PartitionOf(w.Pool, w.Machine) }
 
@@ -179,12 +192,19 @@
 			continue
 		}
 		longest := s.Config.OwnerLease + time.Duration(float64(s.Config.MaxLease)/(1-clockDrift)) + reconcileSlack
-		waiting := ""
+		waiting, answered := "", 0
 		for _, contact := range p.Contacts {
-			if worker, ok := s.workerByID.Get(contact.Worker); ok {
-				if w := s.Workers.Get(worker); !w.tokenAccepted && w.Incarnation == contact.Incarnation {
-					waiting = w.ID
-				}
+			worker, ok := s.workerByID.Get(contact.Worker)
+			if !ok {
+				continue
+			}
+			// The registry may name an earlier incarnation than the contact, and the earlier
+			// owner may have ordered runs from a later one than it knew of. So only the
+			// worker's own list shows which runs exist, whatever its incarnation.
+			if w := s.Workers.Get(worker); w.tokenAccepted {
+				answered++
+			} else {
+				waiting = w.ID
 			}
 		}
 		if waiting != "" && tick.Now.Before(p.OwnedSince.Add(longest)) {
@@ -192,8 +212,8 @@
 		}
 		p.Reconciled, p.placementNeeded = true, true
 		s.blameUnaccountedRuns(tick.Now, id)
-		s.log(events.PoolReconciled, events.F("pool", p.Name), events.F("unanswered", waiting),
-			events.F("after_ms", tick.Now.Sub(p.OwnedSince).Milliseconds()))
+		s.log(events.PoolReconciled, events.F("pool", p.Name), events.F("contacts", len(p.Contacts)),
+			events.F("answered", answered), events.F("unanswered", waiting), events.F("after_ms", tick.Now.Sub(p.OwnedSince).Milliseconds()))
 	}
 }
 
--- a/dispatch/registry.go
+++ b/dispatch/registry.go
@@ -152,13 +152,14 @@
 		s.abandonRun(now, run, "worker-restarted")
 	}
 	w = s.Workers.Get(id)
-	w.Incarnation, w.tokenAccepted, w.contactSaved, w.inherited, w.lastReadEnd = next, false, false, false, 0
+	w.Incarnation, w.tokenAccepted, w.contactSaved, w.lastReadEnd = next, false, false, 0
 	w.unsavedEnds = map[int64]struct{}{}
 	w.clock, w.clockAt, w.leaseUntil = 0, time.Time{}, 0
 	s.leaseChecks.Remove(id)
 	s.schedulePoll(id, now)
 	if p := s.Pools.Get(w.pool); p != nil {
 		p.contactsChanged = true
+		w.inherited = w.inherited && !p.Reconciled // an earlier owner may have ordered runs from it
 	}
 	w.faultScore, w.failedJobs, w.quarantinedUntil = 0, nil, time.Time{}
 	if len(lost) > 0 {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -119,7 +119,10 @@
 	for _, id := range s.takeDue(&s.pollQueue, tick.Now) {
 		w := s.Workers.Get(id)
 		p := s.Pools.Get(w.pool)
-		order := PollOrder{Target: s.target(id, w, p), Acknowledged: w.lastSavedEnd()}
+		order := PollOrder{Target: s.target(id, w, p)}
+		if w.failedPolls == 0 { // otherwise it may have restarted, and its ends count from 1 again
+			order.Acknowledged = w.lastSavedEnd()
+		}
 		if w.tokenAccepted && !w.clockAt.IsZero() {
 			// The lease of a worker that does not answer is not extended, so
 			// that its runs can be given up once the last lease has expired.
@@ -172,11 +175,13 @@
 	switch result {
 	case PollAnswered:
 		if stated := reading.Incarnation; stated != 0 && w.Incarnation != 0 && stated != w.Incarnation {
-			if stated > w.Incarnation {
-				s.endIncarnation(tick.Now, to.Worker, stated)
+			if stated < w.Incarnation {
+				s.schedulePoll(to.Worker, tick.Now.Add(pollGap))
+				return
 			}
-			s.schedulePoll(to.Worker, tick.Now.Add(pollGap))
-			return
+			// Its lists are applied in the same tick: they may contain a run that was
+			// ordered before the restart was known, which must not start elsewhere.
+			s.endIncarnation(tick.Now, to.Worker, stated)
 		}
 		s.applyLists(tick, to.Worker, reading, running, ended)
 	case PollOtherIncarnation:
