Ask the advice service for all workers that a stage may need

Cause: tickets were requested for the workers in use only, the same ones every 0.5 s, and surplus workers were not taken back for a stage that needs advice.

A stage now keeps the answers.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -14,81 +14,182 @@
 	// maxAdviceWorkers bounds the workers named in one request, because the
 	// service takes longer to answer with each worker.
 	maxAdviceWorkers = 30
-	// adviceRetryDelay is the shortest interval between two requests for a
-	// stage, after an answer that allowed too few workers or a failed request.
+	// adviceRetryDelay is the shortest interval between two requests for a stage, unless
+	// the second one names workers that have not been asked for.
 	adviceRetryDelay = 500 * time.Millisecond
+	// adviceRefusalTTL is how long a worker that the service did not allow is left out of
+	// requests. What the service allows does not change, but its answers may miss a worker
+	// that it does not know yet.
+	adviceRefusalTTL = 5 * time.Second
 )
 
-// hasUsableTicket reports whether a candidate has a valid ticket for the stage,
-// and requests tickets if none has.
+// ticket is the advice service's permission to start tasks of a stage on one
+// incarnation of a worker.
+type ticket struct {
+	value       string
+	incarnation int64
+	validUntil  time.Time
+}
+
+// adviceRefusal records that the service did not allow one incarnation of a worker.
+type adviceRefusal struct {
+	incarnation int64
+	until       time.Time
+}
+
+// advice is what a stage knows of the answers of the advice service, by worker ID.
+type advice struct {
+	tickets     map[string]ticket
+	refusals    map[string]adviceRefusal
+	requestedAt time.Time
+	pending     bool
+	failed      bool // the last request had no usable answer
+}
+
+// ticketFor reports whether the stage has a valid ticket for a worker.
+func (a *advice) ticketFor(w *Worker, now time.Time) bool {
+	return a.allows(w) && now.Before(a.tickets[w.ID].validUntil)
+}
+
+// allows reports whether the service has allowed a worker, even if the ticket has expired.
+func (a *advice) allows(w *Worker) bool {
+	t, ok := a.tickets[w.ID]
+	return ok && t.incarnation == w.Incarnation
+}
+
+// refuses reports whether the service has not allowed a worker when it was asked lately.
+func (a *advice) refuses(w *Worker, now time.Time) bool {
+	r, ok := a.refusals[w.ID]
+	return ok && r.incarnation == w.Incarnation && now.Before(r.until)
+}
+
+// expireTicket ends the validity of a ticket that the worker has rejected.
+func (a *advice) expireTicket(w *Worker) {
+	t := a.tickets[w.ID]
+	t.validUntil = time.Time{}
+	a.tickets[w.ID] = t
+}
+
+// mayStartOn reports whether the advice that a stage has allows a start on the worker now.
+func (s *State) mayStartOn(now time.Time, j *Job, stage *Stage, w *Worker) bool {
+	return !j.Spec.Limits.Advice.Needed() || stage.advice.ticketFor(w, now)
+}
+
+// hasUsableTicket reports whether a candidate with room for a task of the stage has a valid
+// ticket, and requests tickets if none has.
 func (s *State) hasUsableTicket(tick engine.Tick, stageID table.ID, candidates []candidate) bool {
 	stage := s.Stages.Get(stageID)
-	usable := 0
-	for i := range candidates {
-		if stage.ticketFor(candidates[i].w, tick.Now) {
-			usable++
-		}
-	}
-	if usable == 0 && !stage.advicePending && !tick.Now.Before(stage.adviceRequestedAt.Add(adviceRetryDelay)) {
-		s.requestAdvice(tick, stageID, candidates)
+	size := s.stepOfStage(stage).Reserved()
+	if slices.ContainsFunc(candidates, func(c candidate) bool { return size.Fits(c.free) && stage.advice.ticketFor(c.w, tick.Now) }) {
+		return true
 	}
-	return usable > 0
+	s.requestAdvice(tick, stageID, candidates)
+	return false
 }
 
-// requestAdvice requests tickets for the candidates that placement would choose
-// first.
-func (s *State) requestAdvice(tick engine.Tick, stageID table.ID, candidates []candidate) {
+// requestAdvice requests tickets for those candidates with room for a task of the stage for
+// which it has neither a ticket nor a refusal: first for those that were allowed before,
+// then for those that placement would choose first. It reports whether an answer is pending
+// or still to be requested for some of them.
+func (s *State) requestAdvice(tick engine.Tick, stageID table.ID, candidates []candidate) bool {
 	stage := s.Stages.Get(stageID)
-	j := s.Jobs.Get(stage.Job)
-	step := &j.Spec.Steps[stage.Step]
+	a := &stage.advice
+	if a.pending {
+		return true
+	}
+	step := s.stepOfStage(stage)
 	suitable := make([]*candidate, 0, len(candidates))
+	unasked := false
 	for i := range candidates {
-		if step.Reserved().Fits(candidates[i].free) && (step.Label == "" || slices.Contains(candidates[i].w.Labels, step.Label)) {
-			suitable = append(suitable, &candidates[i])
+		c := &candidates[i]
+		if !step.Reserved().Fits(c.free) || step.Label != "" && !slices.Contains(c.w.Labels, step.Label) ||
+			a.ticketFor(c.w, tick.Now) || a.refuses(c.w, tick.Now) {
+			continue
 		}
+		suitable = append(suitable, c)
+		_, refused := a.refusals[c.w.ID]
+		unasked = unasked || !refused && !a.allows(c.w)
 	}
 	if len(suitable) == 0 {
-		return
+		return false
+	}
+	if (!unasked || a.failed) && tick.Now.Before(a.requestedAt.Add(adviceRetryDelay)) {
+		return true
 	}
-	slices.SortFunc(suitable, func(a, b *candidate) int {
-		return cmp.Compare(b.score(step, &Task{}), a.score(step, &Task{}))
+	slices.SortFunc(suitable, func(x, y *candidate) int {
+		return cmp.Or(compareTrueFirst(a.allows(x.w), a.allows(y.w)), cmp.Compare(y.score(step, &Task{}), x.score(step, &Task{})))
 	})
 	suitable = suitable[:min(len(suitable), maxAdviceWorkers)]
 	names := make([]string, len(suitable))
 	for i, c := range suitable {
 		names[i] = c.w.ID
 	}
-	settings := j.Spec.Limits.Advice
-	stage.advicePending, stage.adviceRequestedAt = true, tick.Now
+	settings := s.Jobs.Get(stage.Job).Spec.Limits.Advice
+	a.pending, a.requestedAt = true, tick.Now
 	name := s.stageName(stage)
 	s.Out.Advice.Add(AdviceRequest{
 		Stage: stageID, Name: name.StageName(), Workers: names,
 		Expected: settings.Decision + time.Duration(len(names))*settings.PerWorker,
 	})
+	return true
+}
+
+// missingAdvisedWorker returns the best of the surplus workers that fit a stage and that the
+// advice service allows, or asks the service for them once all others have been asked for.
+func (s *State) missingAdvisedWorker(tick engine.Tick, stageID table.ID, kept, fitting []candidate) (best candidate, ok bool) {
+	stage := s.Stages.Get(stageID)
+	allowed := slices.DeleteFunc(slices.Clone(fitting), func(c candidate) bool { return !stage.advice.ticketFor(c.w, tick.Now) })
+	if len(allowed) > 0 {
+		return slices.MaxFunc(allowed, s.compareCandidatesForRelease), true
+	}
+	if !s.requestAdvice(tick, stageID, kept) {
+		s.requestAdvice(tick, stageID, fitting)
+	}
+	return candidate{}, false
 }
 
 // AdviceReceived records the answer to a request for tickets.
 func (s *State) AdviceReceived(tick engine.Tick, request AdviceRequest, tickets map[string]string, validity time.Duration, err error) {
 	stage := s.Stages.Get(request.Stage)
-	s.log(events.AdviceAnswered, events.F("stage", request.Name), events.F("asked", len(request.Workers)),
+	surplus := 0
+	for _, name := range request.Workers {
+		if id, ok := s.workerByID.Get(name); ok && s.Workers.Get(id).surplus {
+			surplus++
+		}
+	}
+	s.log(events.AdviceAnswered, events.F("stage", request.Name), events.F("asked", len(request.Workers)), events.F("surplus", surplus),
 		events.F("allowed", len(tickets)), events.Err(err))
 	if stage == nil {
 		return
 	}
-	stage.advicePending = false
+	a := &stage.advice
+	a.pending, a.failed = false, err != nil
 	j := s.Jobs.Get(stage.Job)
 	if validity <= 0 {
 		validity = j.Spec.Limits.Advice.Validity
 	}
-	if stage.tickets == nil {
-		stage.tickets = map[string]ticket{}
+	if a.tickets == nil {
+		a.tickets, a.refusals = map[string]ticket{}, map[string]adviceRefusal{}
 	}
-	for worker, value := range tickets {
-		if id, ok := s.workerByID.Get(worker); ok {
-			stage.tickets[worker] = ticket{value: value, incarnation: s.Workers.Get(id).Incarnation, validUntil: tick.Now.Add(validity)}
+	for _, name := range request.Workers {
+		id, ok := s.workerByID.Get(name)
+		if !ok || err != nil {
+			continue
+		}
+		incarnation := s.Workers.Get(id).Incarnation
+		if value, allowed := tickets[name]; allowed {
+			a.tickets[name] = ticket{value: value, incarnation: incarnation, validUntil: tick.Now.Add(validity)}
+		} else {
+			a.refusals[name] = adviceRefusal{incarnation: incarnation, until: tick.Now.Add(adviceRefusalTTL)}
 		}
 	}
 	if p := s.Pools.Get(j.Pool); p != nil {
 		p.placementNeeded = true
 	}
 }
+
+// mayMoveTo reports whether a task of the stage could start on the worker as far as the
+// answers of the advice service are known.
+func (j *Job) mayMoveTo(stage *Stage, w *Worker) bool {
+	return !j.Spec.Limits.Advice.Needed() || stage.advice.allows(w)
+}
--- a/dispatch/gangs.go
+++ b/dispatch/gangs.go
@@ -26,6 +26,9 @@
 	}
 	chosen := s.placesForGang(tick, stage, j, step, candidates)
 	if chosen == nil {
+		if j.Spec.Limits.Advice.Needed() {
+			s.requestAdvice(tick, stageID, candidates)
+		}
 		return
 	}
 	run := s.nextGangRun(s.Pools.Get(poolID), stage, j)
@@ -59,7 +62,7 @@
 // assembleGang returns the index of a candidate for each member, or nil if some
 // member fits nowhere.
 func (s *State) assembleGang(tick engine.Tick, stage *Stage, j *Job, step *work.Step, trial []candidate, rack string) []int {
-	counted := Stage{Step: stage.Step, perWorker: map[table.ID]int{}, tickets: stage.tickets}
+	counted := Stage{Step: stage.Step, perWorker: map[table.ID]int{}, advice: stage.advice}
 	chosen := make([]int, len(stage.Tasks))
 	for i, taskID := range stage.Tasks {
 		t := s.Tasks.Get(taskID)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -234,6 +234,7 @@
 		s.placeGang(tick, poolID, stageID, candidates)
 		return stage.ReadyTasks < waiting
 	}
+	withoutWorker := false
 	for _, taskID := range stage.Tasks {
 		t := s.Tasks.Get(taskID)
 		if p.startBudget <= 0 {
@@ -254,6 +255,7 @@
 			continue
 		}
 		if best < 0 {
+			withoutWorker = true
 			if t.AvoidWorker == 0 {
 				break // the other tasks are of equal size and fit nowhere either
 			}
@@ -264,6 +266,9 @@
 			break
 		}
 	}
+	if withoutWorker && j.Spec.Limits.Advice.Needed() {
+		s.requestAdvice(tick, stageID, candidates)
+	}
 	return stage.ReadyTasks < waiting
 }
 
@@ -317,7 +322,7 @@
 		if !size.Fits(c.free) || !s.satisfiesConstraints(tick.Now, c, stage, step, t, rack) {
 			continue
 		}
-		if j.Spec.Limits.Advice.Needed() && !stage.ticketFor(c.w, tick.Now) {
+		if !s.mayStartOn(tick.Now, j, stage, c.w) {
 			continue
 		}
 		if score := c.score(step, t) - s.interferenceCost(c.w, step, partners); best < 0 || score > bestScore {
@@ -402,7 +407,7 @@
 	stage.perWorker[c.id]++
 	order := StartOrder{
 		Target: s.target(c.id, c.w, p), Task: name, Number: number, Payload: j.Spec.Payload,
-		LeaseUntil: c.w.estimatedClock(tick.Now) + s.Config.MaxLease, Checkpoint: t.Checkpoint, Ticket: stage.tickets[c.w.ID].value,
+		LeaseUntil: c.w.estimatedClock(tick.Now) + s.Config.MaxLease, Checkpoint: t.Checkpoint, Ticket: stage.advice.tickets[c.w.ID].value,
 	}
 	c.w.leaseUntil = max(c.w.leaseUntil, order.LeaseUntil)
 	disturbance := s.interferenceCost(c.w, step, s.partners(tick.Now, stage, j, step))
@@ -429,8 +434,3 @@
 		events.F("list_age_ms", tick.Now.Sub(c.w.lastListAt).Milliseconds()), events.F("free_millicores", c.free.MilliCores),
 		events.F("interference", disturbance))
 }
-
-func (stage *Stage) ticketFor(w *Worker, now time.Time) bool {
-	t, ok := stage.tickets[w.ID]
-	return ok && t.incarnation == w.Incarnation && now.Before(t.validUntil)
-}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -113,7 +113,7 @@
 		s.schedulePoll(order.Target.Worker, tick.Now)
 	case StartNoTicket:
 		if t := s.Tasks.Get(run.Task); t != nil {
-			delete(s.Stages.Get(t.Stage).tickets, w.ID)
+			s.Stages.Get(t.Stage).advice.expireTicket(w)
 		}
 	case StartUnhealthy, StartNotSent:
 		w.noStartsUntil = tick.Now.Add(unhealthyDelay)
@@ -358,9 +358,10 @@
 // hasOtherHost reports whether a worker that is not scheduled for maintenance can
 // take a task of a long-running step.
 func (s *State) hasOtherHost(now time.Time, stage *Stage, step *work.Step, current *Worker) bool {
+	j := s.Jobs.Get(stage.Job)
 	for id, w := range s.workersOf(current.pool) {
 		c := candidate{id: id, w: w, free: w.Capacity.Sub(w.used)}
-		if !w.maintenancePending && s.acceptsStarts(now, w) && step.Reserved().Fits(c.free) && s.satisfiesConstraints(now, &c, stage, step, &Task{}, "") {
+		if !w.maintenancePending && j.mayMoveTo(stage, w) && s.acceptsStarts(now, w) && step.Reserved().Fits(c.free) && s.satisfiesConstraints(now, &c, stage, step, &Task{}, "") {
 			return true
 		}
 	}
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -190,9 +190,10 @@
 
 // hasFreeWorker reports whether a task of the step can start now on a worker that isn't slow.
 func (s *State) hasFreeWorker(now time.Time, except *Worker, stage *Stage, step *work.Step) bool {
+	j := s.Jobs.Get(stage.Job)
 	for id, w := range s.workersOf(except.pool) {
 		c := s.newCandidate(now, id, w)
-		if w != except && !s.slowWorkers.Contains(id) && s.acceptsStarts(now, w) && step.Reserved().Fits(c.free) &&
+		if w != except && j.mayMoveTo(stage, w) && !s.slowWorkers.Contains(id) && s.acceptsStarts(now, w) && step.Reserved().Fits(c.free) &&
 			s.satisfiesConstraints(now, &c, stage, step, &Task{}, "") {
 			return true
 		}
--- a/dispatch/stranded.go
+++ b/dispatch/stranded.go
@@ -70,24 +70,37 @@
 	j := s.Jobs.Get(stage.Job)
 	step := &j.Spec.Steps[stage.Step]
 	t := s.strandedTask(tick.Now, p, stage, j)
-	if t == nil || s.waitsForCap(p, j.Spec.Team) || j.Spec.Limits.Advice.Needed() { // the workers that a policy allows are not known before they are asked
+	if t == nil || s.waitsForCap(p, j.Spec.Team) {
 		return nil
 	}
 	if step.Gang {
-		return s.missingGangWorkers(tick, stage, j, step, kept, surplus)
+		missing := s.missingGangWorkers(tick, stage, j, step, kept, surplus)
+		if missing == nil && j.Spec.Limits.Advice.Needed() && !s.requestAdvice(tick, stageID, kept) {
+			s.requestAdvice(tick, stageID, surplus)
+		}
+		return missing
 	}
 	fits := func(c candidate) bool {
 		return step.Reserved().Fits(c.free) && s.satisfiesConstraints(tick.Now, &c, stage, step, t, "")
 	}
-	if slices.ContainsFunc(kept, fits) {
+	if slices.ContainsFunc(kept, func(c candidate) bool { return fits(c) && s.mayStartOn(tick.Now, j, stage, c.w) }) {
 		return nil
 	}
 	fitting := slices.DeleteFunc(slices.Clone(surplus), func(c candidate) bool { return !fits(c) })
 	if len(fitting) == 0 {
 		return nil
 	}
-	best := slices.MaxFunc(fitting, func(a, b candidate) int { return s.compareForRelease(a.id, b.id) })
-	return []table.ID{best.id}
+	if j.Spec.Limits.Advice.Needed() {
+		if best, ok := s.missingAdvisedWorker(tick, stageID, kept, fitting); ok {
+			return []table.ID{best.id}
+		}
+		return nil
+	}
+	return []table.ID{slices.MaxFunc(fitting, s.compareCandidatesForRelease).id}
+}
+
+func (s *State) compareCandidatesForRelease(a, b candidate) int {
+	return s.compareForRelease(a.id, b.id)
 }
 
 // strandedTask returns a task of a stage that could have started strandedAfter ago, or nil.
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -137,30 +137,20 @@
 
 // Stage is one step of one occurrence of a job.
 type Stage struct {
-	Job               table.ID
-	Occurrence        table.ID
-	Step              int
-	DueAt             time.Time
-	OpenDependencies  int // stages it depends on that are not done
-	DoneTasks         int
-	Tasks             []table.ID
-	ReadyTasks        int              // tasks that wait for placement
-	readyQueue        table.ID         // queue of its team among the ready stages; 0 without ready tasks
-	rates             estimate.Rates   // of its runs, by worker
-	late              bool             // the job has passed its deadline, as far as the ready queue knows
-	perWorker         map[table.ID]int // tasks of the stage that may run, by worker
-	tickets           map[string]ticket
-	adviceRequestedAt time.Time
-	advicePending     bool
-	dependents        []table.ID // stages that wait for this one
-}
-
-// ticket is the advice service's permission to start tasks of a stage on one
-// incarnation of a worker.
-type ticket struct {
-	value       string
-	incarnation int64
-	validUntil  time.Time
+	Job              table.ID
+	Occurrence       table.ID
+	Step             int
+	DueAt            time.Time
+	OpenDependencies int // stages it depends on that are not done
+	DoneTasks        int
+	Tasks            []table.ID
+	ReadyTasks       int              // tasks that wait for placement
+	readyQueue       table.ID         // queue of its team among the ready stages; 0 without ready tasks
+	rates            estimate.Rates   // of its runs, by worker
+	late             bool             // the job has passed its deadline, as far as the ready queue knows
+	perWorker        map[table.ID]int // tasks of the stage that may run, by worker
+	advice           advice
+	dependents       []table.ID // stages that wait for this one
 }
 
 // TaskState is the state of a task.
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -18,6 +18,7 @@
 const (
 	simulationStep     = 10 * time.Millisecond
 	simulationMaxLease = 6 * time.Second
+	ticketValidity     = 3 * time.Second
 )
 
 // fakeRun is a run on a fake worker.
@@ -80,6 +81,10 @@
 	progress    func(fakeRun) int // of a run, in percent; nil for the share of its time
 	// countsVisits leaves out checkIndexes, which visits whole tables.
 	countsVisits bool
+	// policy reports whether the advice service allows a worker; nil allows all without a
+	// ticket. asked counts the workers of all requests, by ID.
+	policy func(worker string) bool
+	asked  map[string]int
 }
 
 func newSimulation(t *testing.T, workers ...string) *simulation {
@@ -92,7 +97,7 @@
 }
 
 func (w *simulation) init(t *testing.T) {
-	*w = simulation{t: t, now: simulationStart, ledger: &ledger.JobMirror{}, workers: map[string]*fakeWorker{}, runTime: 300 * time.Millisecond, saved: map[string]*work.Progress{}}
+	*w = simulation{t: t, now: simulationStart, ledger: &ledger.JobMirror{}, workers: map[string]*fakeWorker{}, runTime: 300 * time.Millisecond, saved: map[string]*work.Progress{}, asked: map[string]int{}}
 	nextWrite := func() uint64 { w.lastID++; return w.lastID }
 	w.s = New(Config{MaxLease: simulationMaxLease, OwnerLease: 2500 * time.Millisecond}, w.ledger, nextWrite, func() time.Time { return w.now })
 	w.ledger.Synced, w.ledger.Revision = true, 10
@@ -218,6 +223,16 @@
 		}
 		w.poll(tick, f, o)
 	}
+	for _, request := range drained[AdviceRequest](&w.s.Out.Advice) {
+		tickets := map[string]string{}
+		for _, id := range request.Workers {
+			w.asked[id]++
+			if w.policy(id) {
+				tickets[id] = "ticket-" + id
+			}
+		}
+		w.s.AdviceReceived(tick, request, tickets, ticketValidity, nil)
+	}
 	for _, write := range drained[ledger.Write](&w.s.Out.Writes) {
 		if w.holdWrites != 0 && len(write.Put) > 0 && write.Put[0].Key.Kind == w.holdWrites {
 			w.heldWrites = append(w.heldWrites, write)
@@ -251,6 +266,8 @@
 		return StartLate
 	case o.Number <= f.stopped[o.Task]:
 		return StartOld
+	case w.policy != nil && o.Ticket != "ticket-"+o.Target.ID:
+		return StartNoTicket
 	}
 	f.token, f.leaseUntil = o.Target.Token, max(f.leaseUntil, o.LeaseUntil)
 	r := fakeRun{task: o.Task, run: o.Number, began: w.now}
