Let a failed task return to its worker after a wait

Cause: the task avoided that worker without an end in time, unless it would fit on no other even if that were empty.

A task now avoids the worker for 1 s, 2 s and then 4 s while it is ready, and then counts it with its lower score. The doubling keeps it from spending its attempts on a worker that fails everything for seconds. The rule is part of the constraints, so that it holds in placement, for gangs and for surplus workers. The same mark is set for runs that stand still and for those restarted on slow workers: both end the same way. Looked at: quarantine, pauses after refused starts and probes of slow workers end by time already.

TestFailedTaskReturnsWhereNoOtherWorkerHasRoom (three cases) and TestFailedTaskOutlastsAFailingWorker failed before.

--- a/dispatch/gangs.go
+++ b/dispatch/gangs.go
@@ -22,7 +22,6 @@
 		if s.mayRunElsewhere(s.Pools.Get(poolID), j, t) {
 			return
 		}
-		endAvoidance(tick.Now, step, t, candidates)
 	}
 	chosen := s.placesForGang(tick, stage, j, step, candidates)
 	if chosen == nil {
--- a/dispatch/last_workers_test.go
+++ b/dispatch/last_workers_test.go
@@ -35,6 +35,97 @@
 	}
 }
 
+// Guards against a task that never starts again after a run that failed, stood still or was
+// slow, because no other worker has room for a long time, though some would have it if they
+// were empty (LOST).
+func TestFailedTaskReturnsWhereNoOtherWorkerHasRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		surplus bool // the pool has given up the worker of the failure meanwhile
+		gang    bool
+	}{"in use": {}, "surplus": {surplus: true}, "gang": {gang: true}} {
+		t.Run(name, func(t *testing.T) {
+			w := newSimulation(t, "a", "b", "c")
+			w.runTime = 0
+			w.run(200 * time.Millisecond)
+			w.fillWorkers("b", "c")
+			w.runTime = 300 * time.Millisecond
+			w.workers["a"].fails = true
+			large := step(1)
+			large.Size.MilliCores, large.Gang = 2500, c.gang
+			w.accept(job(large))
+			w.run(500 * time.Millisecond)
+			if w.startCount(work.TaskName{Job: "j1"}) != 1 {
+				t.Fatal("the task did not start on worker a")
+			}
+			w.workers["a"].fails = false
+			id, _ := w.s.workerByID.Get("a")
+			w.s.Workers.Get(id).surplus = c.surplus
+			w.run(3 * time.Second)
+			if saved := w.saved["j1"]; saved == nil || saved.State != work.JobCompleted {
+				t.Errorf("saved progress is %+v after %d starts, want completed", saved, w.startCount(work.TaskName{Job: "j1"}))
+			}
+		})
+	}
+}
+
+// fillWorkers fills half of each of the given workers with long-running tasks.
+func (w *simulation) fillWorkers(ids ...string) {
+	w.label("filled", ids...)
+	half := step(len(ids))
+	half.LongRunning, half.MaxPerWorker, half.Label = true, 1, "filled"
+	half.Size.MilliCores = 2000
+	filling := job(half)
+	filling.ID = "j0"
+	w.accept(filling)
+	w.run(500 * time.Millisecond)
+}
+
+// Guards against a job that is given up because its task spends all attempts on the only
+// worker with room, which fails all that it starts for a while.
+func TestFailedTaskOutlastsAFailingWorker(t *testing.T) {
+	const failingFor = 6500 * time.Millisecond
+	w := newSimulation(t, "a", "b", "c")
+	w.runTime = 0
+	w.run(200 * time.Millisecond)
+	w.fillWorkers("b", "c")
+	w.runTime = 300 * time.Millisecond
+	w.workers["a"].fails = true
+	large := step(1)
+	large.Size.MilliCores = 2500
+	j := job(large)
+	j.Limits.MaxFailures = 4
+	w.accept(j)
+	w.run(failingFor)
+	w.workers["a"].fails = false
+	w.run(maxAvoidTime + time.Second)
+	if saved := w.saved["j1"]; saved == nil || saved.State != work.JobCompleted {
+		t.Errorf("saved progress is %+v after %d starts, want completed", saved, w.startCount(work.TaskName{Job: "j1"}))
+	}
+}
+
+// Guards against a task that returns to the worker of its failure as soon as it may while
+// another one has room.
+func TestFailedTaskTakesAnotherWorkerAfterAWait(t *testing.T) {
+	w := newSimulation(t, "a", "b")
+	w.runTime = 0
+	w.run(200 * time.Millisecond)
+	w.fillWorkers("b")
+	w.runTime = 300 * time.Millisecond
+	w.workers["a"].fails = true
+	large := step(1)
+	large.Size.MilliCores = 2500
+	w.accept(job(large))
+	w.run(400 * time.Millisecond)
+	w.addWorker("c")
+	w.s.SetMaintenance("c", true)
+	w.run(avoidTime - 150*time.Millisecond)
+	w.s.SetMaintenance("c", false)
+	w.run(time.Second)
+	if n := len(w.workers["c"].started); n != 1 {
+		t.Errorf("the task was started %d times on the other worker and %d times on that of the failure", n, len(w.workers["a"].started))
+	}
+}
+
 // Guards against a task that returns at once to a worker that fails whatever it starts.
 func TestFailedTaskPrefersAnotherWorker(t *testing.T) {
 	w := newSimulation(t, "a", "b", "c")
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -247,9 +247,6 @@
 			break
 		}
 		best := s.bestCandidate(tick, stage, j, step, t, candidates, "")
-		if best < 0 && endAvoidance(tick.Now, step, t, candidates) {
-			best = s.bestCandidate(tick, stage, j, step, t, candidates, "")
-		}
 		if best < 0 && t.onProbation() {
 			s.reserveWorker(tick.Now, step, candidates)
 			continue
@@ -272,9 +269,25 @@
 	return stage.ReadyTasks < waiting
 }
 
-// avoidTime is how long a failed task waits for another worker, since one may come back or
-// be taken back, before it may return to that of the failure if it fits on no other.
-const avoidTime = time.Second
+// avoidTime is how long a task waits for another worker after a run of it failed, stood
+// still or was slow. Then it may return, since nothing else may have room for long. The
+// time doubles with each further such run, up to maxAvoidTime: a worker may fail all that
+// it starts for some seconds, and the task must not spend its attempts on it meanwhile.
+const (
+	avoidTime    = time.Second
+	maxAvoidTime = 4 * time.Second
+)
+
+// avoid keeps the task off a worker for a while.
+func (t *Task) avoid(worker table.ID) {
+	t.AvoidWorker = worker
+	t.avoidances++
+}
+
+// avoids reports whether the task waits for another worker than the given one.
+func (t *Task) avoids(now time.Time, worker table.ID) bool {
+	return t.AvoidWorker == worker && !t.hasWaited(now, min(avoidTime<<max(0, t.avoidances-1), maxAvoidTime))
+}
 
 // spreadTime is how long a long-running task waits for a worker with few others of its
 // step. Then it starts beside them: a task that does not run serves nobody.
@@ -285,19 +298,6 @@
 	return t.State == TaskReady && now.Sub(t.ReadySince) >= d
 }
 
-// endAvoidance lets a task return to the worker of its last failure if it fits on no other
-// worker, even without other runs there. It reports whether that changes anything.
-func endAvoidance(now time.Time, step *work.Step, t *Task, candidates []candidate) bool {
-	fits := func(c candidate) bool {
-		return c.id != t.AvoidWorker && step.Reserved().Fits(c.w.Capacity) && (step.Label == "" || slices.Contains(c.w.Labels, step.Label))
-	}
-	if t.AvoidWorker == 0 || !t.hasWaited(now, avoidTime) || slices.ContainsFunc(candidates, fits) {
-		return false
-	}
-	t.AvoidWorker = 0
-	return true
-}
-
 // mayRunElsewhere reports whether an earlier owner may have started the task on
 // a worker that has not answered this owner yet.
 func (s *State) mayRunElsewhere(p *Pool, j *Job, t *Task) bool {
@@ -351,7 +351,7 @@
 		return false
 	case step.WorkerLimit() > 0 && stage.perWorker[c.id] >= step.WorkerLimit() && !t.hasWaited(now, spreadTime):
 		return false
-	case t.AvoidWorker == c.id && !step.LongRunning:
+	case !step.LongRunning && t.avoids(now, c.id):
 		return false
 	}
 	return true
@@ -419,6 +419,10 @@
 		progressAt: tick.Now, speed: fullSpeed, restored: t.Checkpoint != "",
 	})
 	c.free = c.free.Sub(size)
+	returned := t.AvoidWorker == c.id && !step.LongRunning
+	if returned {
+		s.count("starts_returned")
+	}
 	if c.cost > 0 { // a probe
 		c.free, c.w.nextProbeAt = placement.Resources{}, tick.Now.Add(probeInterval)
 	}
@@ -432,5 +436,5 @@
 	s.log(events.RunOrdered, events.F("task", name.String()), events.F("run", number), events.F("worker", c.w.ID),
 		events.F("token", p.Token), events.F("waited_ms", tick.Now.Sub(t.ReadySince).Milliseconds()),
 		events.F("list_age_ms", tick.Now.Sub(c.w.lastListAt).Milliseconds()), events.F("free_millicores", c.free.MilliCores),
-		events.F("interference", disturbance))
+		events.F("interference", disturbance), events.F("returned", returned))
 }
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -220,7 +220,7 @@
 	if monitored && !run.stopRequested && tick.Now.Sub(run.progressAt) > hangTimeout {
 		s.log(events.RunStalled, events.F("task", run.Name.String()), events.F("run", run.Number), events.F("percent", run.percent),
 			events.F("still_ms", tick.Now.Sub(run.progressAt).Milliseconds()))
-		t.AvoidWorker = run.Worker
+		t.avoid(run.Worker)
 		s.requestStop(id)
 		s.recordFault(tick.Now, run.Worker, run.Name.Job, hangScore)
 	}
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -205,7 +205,8 @@
 	run := s.Runs.Get(id)
 	t := s.Tasks.Get(run.Task)
 	_, j, _ := s.stageJobAndStep(t)
-	t.movedOff, t.AvoidWorker = true, run.Worker
+	t.movedOff = true
+	t.avoid(run.Worker)
 	s.requestStop(id)
 	s.count("slow_runs_restarted")
 	s.log(events.SlowRunRestarted, events.F("task", run.Name.String()), events.F("run", run.Number), events.F("worker", w.ID),
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -180,7 +180,8 @@
 	// worker or its end is found; 0 for none.
 	unaccountedRun int
 	Checkpoint     string
-	AvoidWorker    table.ID // worker of the last failure
+	AvoidWorker    table.ID // worker of the last run that failed, stood still or was slow
+	avoidances     int      // how many such runs there were
 	NotBefore      time.Time
 	ReadySince     time.Time
 	movedOff       bool // a run of it was stopped on a slow worker
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -380,7 +380,7 @@
 		}
 		s.finishTask(tick, taskID)
 	case work.EndFailed:
-		t.AvoidWorker = worker
+		t.avoid(worker)
 		s.recordFault(tick.Now, worker, j.Spec.ID, failureScore)
 		if !step.LongRunning {
 			s.deferAcknowledgement(tick.Now, jobID, worker, end.Number)
