Carry the ends of a silent worker's leases over changes of the owner

Cause: a worker that has left can't be told from one that is cut off, so that its owner waits for the end of its leases. The next owner did not know that end and waited 7.2 s anew, each one in a row. In the log the pool changes its owner 4.6 s and 6.4 s after the worker has left, and the third owner reports 813 with unanswered and after_ms 7205.

The stored contacts now state for a silent worker how long its runs last at most from the write on (event 814). A next owner counts from when it first saw the record, on its own monotonic clock. Before an owner extends a lease or starts a run there again it stores the contact without that limit, so that a task can't run twice on a worker that is cut off and runs on. The wait without a stated end loses the 1.6 s for late orders, which state the end of a lease on the worker's clock and can't extend it; Config.OwnerLease goes with them.

Looked at: planned stops, kills and lost leases of the owner, new and running successors, several changes in a row; workers that leave, crash, are cut off from store or owner, or answer again; removal from the registry.

--- a/dispatch/caps_world_test.go
+++ b/dispatch/caps_world_test.go
@@ -312,7 +312,7 @@
 				p.owned[record.Key.Name], p.tokens[record.Key.Name] = *owner, record.Revision
 			}
 		case ledger.KindContacts:
-			p.sim.s.ApplyContacts(record)
+			p.sim.s.ApplyContacts(site.now, record)
 		case ledger.KindDemand:
 			p.quota.ApplyReport(site.now, record)
 		case ledger.KindAllotment:
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -114,7 +114,7 @@
 		w.s.DropPool("pool")
 		w.ledger.Revision++
 		w.token = w.ledger.Revision
-		w.s.ApplyContacts(ledger.Record{Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Content: w.contacts, Revision: w.ledger.Revision})
+		w.s.ApplyContacts(w.now, ledger.Record{Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Content: w.contacts, Revision: w.ledger.Revision})
 	}
 	w.runDeadly(10 * time.Second)
 	if saved := w.saved["j1"]; saved == nil || saved.State != work.JobFailed {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -243,7 +243,7 @@
 	longRunning := step(1)
 	longRunning.LongRunning = true
 	w.accept(job(longRunning))
-	w.s.ApplyContacts(ledger.Record{
+	w.s.ApplyContacts(w.now, ledger.Record{
 		Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
 		Content: []work.Contact{{Worker: "a", Address: "a:1", Incarnation: 1}, {Worker: "c", Address: "c:1", Incarnation: 1}},
 	})
@@ -355,7 +355,7 @@
 	w.ledger.Revision++
 	w.token = w.ledger.Revision
 	task := work.TaskName{Job: "j1"}
-	w.s.ApplyContacts(ledger.Record{
+	w.s.ApplyContacts(w.now, ledger.Record{
 		Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
 		Content: []work.Contact{{Worker: "a", Address: "a:1", Incarnation: 1}, {Worker: "b", Address: "b:1", Incarnation: 1}},
 	})
@@ -402,7 +402,7 @@
 	replacement := w.addWorker("d")
 	replacement.Machine, replacement.Incarnation, replacement.Pool = "m-c", 2, "other"
 	w.accept(job(step(1)))
-	w.s.ApplyContacts(ledger.Record{
+	w.s.ApplyContacts(w.now, ledger.Record{
 		Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
 		Content: []work.Contact{{Worker: "a", Machine: "m-a", Address: "a:1", Incarnation: 1}, {Worker: "c", Machine: "m-c", Address: "c:1", Incarnation: 1}},
 	})
--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -18,7 +18,7 @@
 	longRunning := step(2)
 	longRunning.LongRunning, longRunning.MaxUnavailable = true, 1
 	w.accept(job(longRunning))
-	w.s.ApplyContacts(ledger.Record{
+	w.s.ApplyContacts(w.now, ledger.Record{
 		Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
 		Content: []work.Contact{{Worker: "a", Address: "a:1", Incarnation: 1}, {Worker: "b", Address: "b:1", Incarnation: 1}},
 	})
--- a/dispatch/occurrences_test.go
+++ b/dispatch/occurrences_test.go
@@ -99,7 +99,7 @@
 		w.s.DropPool("pool")
 		w.ledger.Revision++
 		w.token = w.ledger.Revision
-		w.s.ApplyContacts(ledger.Record{
+		w.s.ApplyContacts(w.now, ledger.Record{
 			Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Content: w.contacts, Revision: w.ledger.Revision,
 		})
 		if saved := w.saved["j1"]; len(saved.Finished) != 1 || len(saved.Stages) > 8 {
--- a/dispatch/odd_entries_test.go
+++ b/dispatch/odd_entries_test.go
@@ -42,7 +42,7 @@
 	w := newSimulation(t, "a", "dark")
 	w.workers["dark"].silent = true
 	w.workers["phantom"] = &fakeWorker{Worker: *phantom("pool", "m-none"), silent: true, stopped: map[work.TaskName]int{}}
-	w.s.ApplyContacts(ledger.Record{
+	w.s.ApplyContacts(w.now, ledger.Record{
 		Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
 		Content: []work.Contact{{Worker: "dark", Machine: "m-dark", Address: "dark:1", Incarnation: 1}},
 	})
@@ -89,7 +89,7 @@
 			w := newSimulation(t, "a", "b")
 			w.runTime = time.Hour
 			w.accept(job(step(1)))
-			w.s.ApplyContacts(ledger.Record{
+			w.s.ApplyContacts(w.now, ledger.Record{
 				Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: 5,
 				Content: []work.Contact{{Worker: "a", Machine: "m-a", Address: "a:1", Incarnation: 1}},
 			})
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -1,13 +1,11 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
 	"github.com/waxwingbridge/waxwingbridge/estimate"
 	"github.com/waxwingbridge/waxwingbridge/events"
-	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/table"
 	"github.com/waxwingbridge/waxwingbridge/work"
 )
@@ -86,18 +84,6 @@
 	return p != nil && p.Loaded && now.Before(p.OwnedUntil)
 }
 
-// ApplyContacts records the stored contacts of a pool. Revisions that are not newer are
-// ignored.
-func (s *State) ApplyContacts(record ledger.Record) {
-	if record.Revision <= s.storedContacts[record.Key.Name].Revision {
-		return
-	}
-	s.storedContacts[record.Key.Name] = record
-	if id, ok := s.poolByName.Get(record.Key.Name); ok {
-		s.Pools.Get(id).contactsRevision = record.Revision
-	}
-}
-
 // loadJobs fills the tables of a pool once the ledger has caught up with the
 // start of the ownership, and applies the ledger's changes afterwards.
 func loadJobs(s *State, tick engine.Tick) {
@@ -132,8 +118,7 @@
 	}
 	p := s.Pools.Get(id)
 	seen := s.storedContacts[p.Name]
-	p.contactsRevision = seen.Revision
-	p.Contacts, _ = seen.Content.([]work.Contact)
+	p.contactsRevision, p.Contacts = seen.revision, seen.contacts
 	for _, contact := range p.Contacts {
 		if s.latestIncarnation[contact.Machine] > contact.Incarnation {
 			continue // a later worker is on its machine, so none of its runs exists
@@ -143,14 +128,13 @@
 			s.deleteWorker(workerID)
 			known = false
 		}
-		if known {
-			s.setPool(workerID, id)
-			s.Workers.Get(workerID).inherited = true
-			continue
+		if !known {
+			workerID = s.insertWorker(Worker{Worker: work.Worker{ID: contact.Worker, Machine: contact.Machine, Address: contact.Address, Incarnation: contact.Incarnation, Pool: work.PoolOf(p.Name)}})
 		}
-		workerID = s.insertWorker(Worker{Worker: work.Worker{ID: contact.Worker, Machine: contact.Machine, Address: contact.Address, Incarnation: contact.Incarnation, Pool: work.PoolOf(p.Name)}})
 		s.setPool(workerID, id)
-		s.Workers.Get(workerID).inherited = true
+		w := s.Workers.Get(workerID)
+		w.inherited, w.inheritedUntil = true, s.inheritedUntil(p, seen.seenAt, contact)
+		w.leaseLimited = contact.LeaseLeft > 0
 	}
 	for workerID, w := range s.Workers.All() {
 		if w.Listed && s.partition(w) == p.Name && !s.namesNoWorker(&w.Worker) {
@@ -182,17 +166,27 @@
 	return id
 }
 
+// inheritedUntil returns the latest time at which a run of an earlier owner may exist on a
+// contact that was first seen in the store at the given time. Each order carries the end of
+// its lease on the worker's clock, so that a late order of a replaced owner extends none.
+func (s *State) inheritedUntil(p *Pool, seenAt time.Time, contact work.Contact) time.Time {
+	until := p.OwnedSince.Add(time.Duration(float64(s.Config.MaxLease)/(1-clockDrift)) + reconcileSlack)
+	if limit := seenAt.Add(contact.LeaseLeft + leaseSlack); contact.LeaseLeft > 0 && limit.Before(until) {
+		return limit
+	}
+	return until
+}
+
 // reconcilePools marks a pool as reconciled, so that tasks of jobs accepted
 // before the ownership may be started: when every contact of the earlier owner
 // has answered a poll with the new token, or when the lease of every run that it
-// started must have expired.
+// started there must have expired.
 func reconcilePools(s *State, tick engine.Tick) {
 	for id, p := range s.Pools.All() {
 		if p.Reconciled || !p.Loaded {
 			continue
 		}
-		longest := s.Config.OwnerLease + time.Duration(float64(s.Config.MaxLease)/(1-clockDrift)) + reconcileSlack
-		waiting, answered := "", 0
+		waiting, unanswered, answered := false, "", 0
 		for _, contact := range p.Contacts {
 			worker, ok := s.workerByID.Get(contact.Worker)
 			if !ok {
@@ -204,99 +198,15 @@
 			if w := s.Workers.Get(worker); w.tokenAccepted {
 				answered++
 			} else {
-				waiting = w.ID
+				unanswered, waiting = w.ID, waiting || tick.Now.Before(w.inheritedUntil)
 			}
 		}
-		if waiting != "" && tick.Now.Before(p.OwnedSince.Add(longest)) {
+		if waiting {
 			continue
 		}
 		p.Reconciled, p.placementNeeded = true, true
 		s.blameUnaccountedRuns(tick.Now, id)
 		s.log(events.PoolReconciled, events.F("pool", p.Name), events.F("contacts", len(p.Contacts)),
-			events.F("answered", answered), events.F("unanswered", waiting), events.F("after_ms", tick.Now.Sub(p.OwnedSince).Milliseconds()))
-	}
-}
-
-// saveContacts stores which workers may hold runs, before the first start on a
-// further one, so that the next owner knows which workers to poll.
-func saveContacts(s *State, tick engine.Tick) {
-	for id, p := range s.Pools.All() {
-		if !s.mayOrder(p, tick.Now) || p.contactsWrite != 0 || tick.Now.Before(p.contactsRetryAt) {
-			continue
-		}
-		if !p.contactsChanged && tick.Now.Before(p.contactsCheckedAt.Add(contactPruneInterval)) {
-			continue
-		}
-		p.contactsChanged, p.contactsCheckedAt = false, tick.Now
-		contacts, missing := s.currentContacts(id)
-		stale := len(contacts) < len(p.savedContacts) && !tick.Now.Before(p.contactsSavedAt.Add(contactPruneInterval))
-		if !missing && !stale {
-			continue
-		}
-		for _, w := range s.workersOf(id) { // a worker that is left out must be stored again before a start on it
-			w.contactSaved = w.contactSaved && slices.ContainsFunc(contacts, func(c work.Contact) bool { return c.Worker == w.ID })
-		}
-		p.contactsSavedAt = tick.Now
-		p.contactsWrite = s.NextWrite()
-		s.pendingWrites[p.contactsWrite] = pendingWrite{pool: id, contacts: contacts}
-		s.Out.Writes.Add(ledger.Write{
-			ID: p.contactsWrite, NotAfter: p.OwnedUntil,
-			Expect: []ledger.Condition{
-				{Key: ledger.Key{Kind: ledger.KindOwner, Name: p.Name}, Revision: p.Token},
-				{Key: ledger.Key{Kind: ledger.KindContacts, Name: p.Name}, Revision: p.contactsRevision},
-			},
-			Put: []ledger.Put{{Key: ledger.Key{Kind: ledger.KindContacts, Name: p.Name}, Content: contacts}},
-		})
-	}
-}
-
-// currentContacts returns the workers that hold or may get runs, and whether one
-// of them is missing from the stored contacts. A worker that holds nothing and is
-// released, leaves its pool or does not answer is left out: the next owner would
-// wait for its answer, and it is stored again before a start on it.
-func (s *State) currentContacts(id table.ID) (contacts []work.Contact, missing bool) {
-	p := s.Pools.Get(id)
-	for _, w := range s.workersOf(id) {
-		neverOrdered := !w.inherited && !w.contactSaved && !w.tokenAccepted
-		holdsNothing := w.holdsNothing() && (w.tokenAccepted || p.Reconciled || neverOrdered)
-		if holdsNothing && neverOrdered {
-			continue // perhaps an entry of another writer, for which a next owner would wait
-		}
-		if holdsNothing && (w.released || w.underMaintenance || !w.Listed || w.failedPolls >= maxFailedPolls) {
-			continue
-		}
-		missing = missing || (!w.contactSaved && w.Listed && w.tokenAccepted)
-		contacts = append(contacts, work.Contact{Worker: w.ID, Machine: w.Machine, Address: w.Address, Incarnation: w.Incarnation})
-	}
-	return contacts, missing
-}
-
-// contactPruneInterval is the shortest interval between writes that only remove
-// contacts. They are needed because the next owner would wait for workers that
-// have left.
-const contactPruneInterval = 600 * time.Millisecond
-
-// writeRetryDelay is the delay after a store write that was refused or whose
-// result is unknown.
-const writeRetryDelay = 120 * time.Millisecond
-
-func (s *State) contactsSaved(now time.Time, p *Pool, pending pendingWrite, result ledger.WriteResult) {
-	p.contactsWrite, p.contactsChanged = 0, true
-	if result.Outcome != ledger.Applied {
-		p.contactsRetryAt = now.Add(writeRetryDelay)
-		for _, seen := range result.Current {
-			if seen.Key.Kind == ledger.KindContacts {
-				p.contactsRevision = seen.Revision
-			}
-		}
-		return
-	}
-	p.contactsRevision, p.savedContacts, p.placementNeeded = result.Revision, pending.contacts, true
-	for _, contact := range pending.contacts {
-		if id, ok := s.workerByID.Get(contact.Worker); ok {
-			if w := s.Workers.Get(id); w.Incarnation == contact.Incarnation {
-				w.contactSaved = true
-			}
-		}
+			events.F("answered", answered), events.F("unanswered", unanswered), events.F("after_ms", tick.Now.Sub(p.OwnedSince).Milliseconds()))
 	}
 }
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -106,7 +106,7 @@
 		s.s.DropPool("pool")
 		s.ledger.Revision++
 		s.token = s.ledger.Revision
-		s.s.ApplyContacts(ledger.Record{
+		s.s.ApplyContacts(s.now, ledger.Record{
 			Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Content: s.contacts, Revision: s.ledger.Revision,
 		})
 	case 4:
--- a/dispatch/reconcile_test.go
+++ b/dispatch/reconcile_test.go
@@ -12,7 +12,7 @@
 // given contacts.
 func (w *simulation) succeed(contacts ...work.Contact) {
 	w.ledger.Revision++
-	w.s.ApplyContacts(ledger.Record{Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: w.ledger.Revision, Content: contacts})
+	w.s.ApplyContacts(w.now, ledger.Record{Key: ledger.Key{Kind: ledger.KindContacts, Name: "pool"}, Revision: w.ledger.Revision, Content: contacts})
 	w.ledger.Revision++
 	w.token = w.ledger.Revision
 }
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -387,10 +387,15 @@
 	return unavailable < step.MaxUnavailable
 }
 
-// ReadyForHandover reports whether no start is in flight and no final state or
-// end of a run waits to be saved, so that a planned shutdown can hand the pools
-// over without loss.
+// ReadyForHandover reports whether no start is in flight and no final state, end of a
+// run or end of a silent worker's leases waits to be saved, so that a planned shutdown can
+// hand the pools over without loss.
 func (s *State) ReadyForHandover() bool {
+	for _, p := range s.Pools.All() {
+		if p.Loaded && (p.contactsWrite != 0 || !p.handoverContactsSaved) {
+			return false
+		}
+	}
 	for _, run := range s.Runs.All() {
 		if run.State == RunOrdered {
 			return false
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -37,42 +37,43 @@
 	// process does not know of.
 	Reconciled bool
 	// Contacts are the workers that may hold runs of an earlier owner.
-	Contacts            []work.Contact
-	savedContacts       []work.Contact
-	contactsSavedAt     time.Time // time of the last write
-	contactsRevision    int64
-	contactsWrite       uint64
-	contactsRetryAt     time.Time
-	contactsCheckedAt   time.Time
-	contactsChanged     bool // a change may call for a write of the contacts
-	savesInFlight       int  // progress writes in flight
-	nextSaveAt          time.Time
-	unsavedJobs         table.Heap[time.Time] // changed jobs without a write in flight, by the time of their save
-	ready               readyQueue
-	runTimes            *estimate.RunTimes // learnt by this owner
-	peers               *estimate.Peers    // nil judges no worker
-	placedAt            time.Time
-	retriedAt           time.Time // last placement that no change called for
-	lastSweepAt         time.Time
-	finishedRecords     table.Heap[time.Time] // ledger rows of finished jobs, by the end of their retention
-	lastDemand          work.Demand           // last stored report
-	demandCheckedAt     time.Time
-	demandAt            time.Time
-	demandWrite         uint64
-	demandRetryAt       time.Time
-	firstReportRevision int64 // store revision of this owner's first report; 0 before it
-	startBudget         int   // starts that the current placement pass may still order
-	arrivals            []arrival
-	forecast            forecast.Learner               // of the work that arrives
-	longRunningJobs     []table.ID                     // jobs with long-running steps
-	teams               map[string]placement.Resources // by team: what its runs that may exist occupy
-	caps                poolCaps
-	windowNeed          int // highest need in the current window
-	previousNeed        int // highest need in the previous window
-	windowStart         time.Time
-	interference        interference.Model // what the kinds of tasks do to each other
-	unexplainedCrashAt  time.Time          // last crash of a worker that no task explains
-	placementNeeded     bool               // set by any change since the last placement that may allow a start
+	Contacts              []work.Contact
+	savedContacts         []work.Contact
+	contactsSavedAt       time.Time // time of the last write
+	contactsRevision      int64
+	contactsWrite         uint64
+	contactsRetryAt       time.Time
+	contactsCheckedAt     time.Time
+	contactsChanged       bool // a change may call for a write of the contacts
+	handoverContactsSaved bool // nothing was left to store in them when the planned shutdown began
+	savesInFlight         int  // progress writes in flight
+	nextSaveAt            time.Time
+	unsavedJobs           table.Heap[time.Time] // changed jobs without a write in flight, by the time of their save
+	ready                 readyQueue
+	runTimes              *estimate.RunTimes // learnt by this owner
+	peers                 *estimate.Peers    // nil judges no worker
+	placedAt              time.Time
+	retriedAt             time.Time // last placement that no change called for
+	lastSweepAt           time.Time
+	finishedRecords       table.Heap[time.Time] // ledger rows of finished jobs, by the end of their retention
+	lastDemand            work.Demand           // last stored report
+	demandCheckedAt       time.Time
+	demandAt              time.Time
+	demandWrite           uint64
+	demandRetryAt         time.Time
+	firstReportRevision   int64 // store revision of this owner's first report; 0 before it
+	startBudget           int   // starts that the current placement pass may still order
+	arrivals              []arrival
+	forecast              forecast.Learner               // of the work that arrives
+	longRunningJobs       []table.ID                     // jobs with long-running steps
+	teams                 map[string]placement.Resources // by team: what its runs that may exist occupy
+	caps                  poolCaps
+	windowNeed            int // highest need in the current window
+	previousNeed          int // highest need in the previous window
+	windowStart           time.Time
+	interference          interference.Model // what the kinds of tasks do to each other
+	unexplainedCrashAt    time.Time          // last crash of a worker that no task explains
+	placementNeeded       bool               // set by any change since the last placement that may allow a start
 }
 
 // Job is an accepted job of an owned pool.
@@ -272,6 +273,11 @@
 	load          workerLoad
 	contactSaved  bool // among the stored contacts
 	inherited     bool // among the contacts of an earlier owner
+	// inheritedUntil is the latest time at which a run of an earlier owner may exist there.
+	inheritedUntil time.Time
+	// leaseLimited is set while the stored contacts may state an end of its leases. They
+	// must not be extended before a record without it is stored.
+	leaseLimited bool
 
 	clock      time.Duration // last reading of the worker's clock
 	clockAt    time.Time     // arrival time of that reading
@@ -322,10 +328,9 @@
 
 // Config holds the time limits that decisions depend on.
 type Config struct {
-	MaxLease   time.Duration // longest lease of a run
-	OwnerLease time.Duration // longest time for which a replaced owner may still send orders
-	Retention  time.Duration // how long finished jobs stay visible
-	StopTime   time.Duration // how long a worker takes to stop a run
+	MaxLease  time.Duration // longest lease of a run
+	Retention time.Duration // how long finished jobs stay visible
+	StopTime  time.Duration // how long a worker takes to stop a run
 	// Forecast has the pools learn the turns of their demand and order machines ahead.
 	Forecast bool
 	// IgnoreInterference leaves out of placement what tasks do to each other.
@@ -371,7 +376,7 @@
 	allotmentRevision int64
 	hasCaps           bool             // the manifest in force has a team with a cap
 	latestIncarnation map[string]int64 // latest worker incarnation, by machine
-	storedContacts    map[string]ledger.Record
+	storedContacts    map[string]storedContacts
 	pendingWrites     map[uint64]pendingWrite
 	dueOccurrences    table.Heap[time.Time] // jobs, by the due time of their next occurrence
 	dueStages         table.Heap[time.Time] // stages that wait for their due time
@@ -413,7 +418,7 @@
 func New(config Config, jobs *ledger.JobMirror, nextWrite func() uint64, timeOfDay func() time.Time) *State {
 	return &State{
 		IsPool: func(string) bool { return true }, Team: func(string) *work.Team { return nil }, Config: config, Mirror: jobs, NextWrite: nextWrite, TimeOfDay: timeOfDay,
-		underMaintenance: map[string]bool{}, storedContacts: map[string]ledger.Record{}, latestIncarnation: map[string]int64{}, pendingWrites: map[uint64]pendingWrite{},
+		underMaintenance: map[string]bool{}, storedContacts: map[string]storedContacts{}, latestIncarnation: map[string]int64{}, pendingWrites: map[uint64]pendingWrite{},
 	}
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -126,7 +126,7 @@
 		if w.tokenAccepted && !w.clockAt.IsZero() {
 			// The lease of a worker that does not answer is not extended, so
 			// that its runs can be given up once the last lease has expired.
-			if w.failedPolls == 0 {
+			if w.failedPolls == 0 && !w.leaseLimited {
 				order.LeaseUntil = w.estimatedClock(tick.Now) + s.Config.MaxLease
 				w.leaseUntil = max(w.leaseUntil, order.LeaseUntil)
 			}
@@ -193,7 +193,7 @@
 		s.log(events.OrderFenced, events.F("worker", w.ID), events.F("token", to.Token))
 	case PollFailed:
 		if w.failedPolls++; w.failedPolls == 1 {
-			w.silentSince = tick.Now
+			w.silentSince, p.contactsChanged = tick.Now, true
 		}
 		s.schedulePoll(to.Worker, tick.Now.Add(pollRetryDelay*time.Duration(min(w.failedPolls, 6))))
 	}
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -47,6 +47,8 @@
 	started     []work.TaskName // tasks of all accepted starts
 	fails       bool            // all runs end with a failure
 	slowness    float64         // with runTimeOf: factor by which runs take longer; 0 for 1
+	slowClock   float64         // share by which its clock is slower
+	unlisted    bool            // its registry entry was removed
 }
 
 // simulation connects the state of one owner with fake workers and a store that
@@ -70,6 +72,8 @@
 	observe   func(work.TaskName)
 	deleted   []ledger.Key
 	contacts  []work.Contact
+	// contactsRevision is that of the stored contacts.
+	contactsRevision int64
 	// failKind has the effect of storeDown on writes of records of this kind.
 	failKind ledger.Kind
 	demand   *work.Demand // last stored report of the pool
@@ -83,8 +87,10 @@
 	countsVisits bool
 	// policy reports whether the advice service allows a worker; nil allows all without a
 	// ticket. asked counts the workers of all requests, by ID.
-	policy func(worker string) bool
-	asked  map[string]int
+	policy   func(worker string) bool
+	asked    map[string]int
+	accepted []ledger.Record // jobs, as the watch has delivered them
+	epoch    int             // of the ownership
 }
 
 func newSimulation(t *testing.T, workers ...string) *simulation {
@@ -99,9 +105,9 @@
 func (w *simulation) init(t *testing.T) {
 	*w = simulation{t: t, now: simulationStart, ledger: &ledger.JobMirror{}, workers: map[string]*fakeWorker{}, runTime: 300 * time.Millisecond, saved: map[string]*work.Progress{}, asked: map[string]int{}}
 	nextWrite := func() uint64 { w.lastID++; return w.lastID }
-	w.s = New(Config{MaxLease: simulationMaxLease, OwnerLease: 2500 * time.Millisecond}, w.ledger, nextWrite, func() time.Time { return w.now })
+	w.s = New(Config{MaxLease: simulationMaxLease}, w.ledger, nextWrite, func() time.Time { return w.now })
 	w.ledger.Synced, w.ledger.Revision = true, 10
-	w.token = 10
+	w.token, w.epoch = 10, 1
 }
 
 func (w *simulation) addWorker(id string) *fakeWorker {
@@ -117,7 +123,7 @@
 }
 
 func (f *fakeWorker) clock(now time.Time) time.Duration {
-	return f.clockOffset + now.Sub(simulationStart)
+	return f.clockOffset + time.Duration((1-f.slowClock)*float64(now.Sub(simulationStart)))
 }
 
 func (f *fakeWorker) reading(now time.Time) ClockReading {
@@ -126,16 +132,18 @@
 
 // renewOwnership extends the ownership of the pool.
 func (w *simulation) renewOwnership() {
-	w.s.OwnPool(w.now, "pool", w.token, 1, w.now.Add(2*time.Second))
+	w.s.OwnPool(w.now, "pool", w.token, w.epoch, w.now.Add(2*time.Second))
 }
 
 // accept inserts a job into the ledger as the watch would.
 func (w *simulation) accept(job *work.Job) {
 	w.ledger.Revision++
 	job.Pool, job.Queue = "pool", "queue"
-	w.ledger.Apply(w.now, ledger.Record{
+	record := ledger.Record{
 		Key: ledger.Key{Kind: ledger.KindJob, Name: job.ID}, Content: job, Revision: w.ledger.Revision, CreateRevision: w.ledger.Revision,
-	})
+	}
+	w.accepted = append(w.accepted, record)
+	w.ledger.Apply(w.now, record)
 }
 
 // run advances the simulated time in steps of one tick.
@@ -330,7 +338,7 @@
 			w.demand = demand
 		}
 		if contacts, ok := put.Content.([]work.Contact); ok {
-			w.contacts = contacts
+			w.contacts, w.contactsRevision = contacts, w.ledger.Revision
 		}
 	}
 	w.deleted = append(w.deleted, write.Delete...)
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -85,7 +85,7 @@
 	s.Ownership.Node, s.Ownership.Incarnation, s.Ownership.NextWrite = settings.Node, incarnation, nextWrite
 	s.Ownership.Millicores = settings.Millicores
 	s.Dispatch = dispatch.New(dispatch.Config{
-		MaxLease: min(settings.Bounds.MaxLease, runLease), OwnerLease: ownership.LeaseTTL, Retention: settings.Bounds.StatusRetention,
+		MaxLease: min(settings.Bounds.MaxLease, runLease), Retention: settings.Bounds.StatusRetention,
 		StopTime: settings.Bounds.StopTime, Forecast: features.Forecast, IgnoreInterference: !features.Interference,
 	}, &s.Mirror, nextWrite, timeOfDay)
 	s.Dispatch.IsPool = nil // until there is a manifest
@@ -251,7 +251,7 @@
 	case ledger.KindOwner, ledger.KindEpoch, ledger.KindPeer:
 		s.Ownership.Apply(tick.Now, record)
 	case ledger.KindContacts:
-		s.Dispatch.ApplyContacts(record)
+		s.Dispatch.ApplyContacts(tick.Now, record)
 	case ledger.KindMachineOrder, ledger.KindMachineMove:
 		s.Machines.ApplyOrder(tick.Now, record)
 	case ledger.KindDemand:
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -98,6 +98,7 @@
 	PoolLost                 = Event{811, log.WarnLevel, "pool is no longer owned by this process"}
 	PoolLoaded               = Event{812, log.InfoLevel, "jobs of a pool were loaded"}
 	PoolReconciled           = Event{813, log.InfoLevel, "runs of earlier owners were reconciled"}
+	LeaseLimitsStored        = Event{814, log.InfoLevel, "ends of the leases on silent workers were stored"}
 	WorkFinished             = Event{820, log.InfoLevel, "job reached its final state"}
 	ProgressNotSaved         = Event{821, log.WarnLevel, "progress could not be saved"}
 	DemandNotSaved           = Event{822, log.WarnLevel, "demand of a pool could not be saved"}
@@ -172,7 +173,7 @@
 		JobFinished, JobUnknown, JobParked, JobFailed, WorkerQuarantined, WorkerReleased, PowerCapThrottling, JobPreempted,
 		QuarantineCapped,
 		RequestAnswered, RequestNotServed, RequestsNotWritten, PoolOwned, PoolLost, PoolLoaded,
-		PoolReconciled, WorkFinished, ProgressNotSaved, DemandNotSaved, DemandReported, RunOrdered, StartRefused, RunEnded,
+		PoolReconciled, LeaseLimitsStored, WorkFinished, ProgressNotSaved, DemandNotSaved, DemandReported, RunOrdered, StartRefused, RunEnded,
 		RunAbandoned, RunAdopted, RunStopOrdered, RunStalled, BestEffortSpeedChanged, AdviceAnswered,
 		WorkerDraining, WorkerUnregistered, WorkerIncarnationEnded, WorkerLeasesExpired, OrderFenced, WorkerUnfit,
 		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, WorkersReserved, OverloadOrder, RunTimeLearnt, WorkerSlow, SlowRunRestarted, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
--- a/work/records.go
+++ b/work/records.go
@@ -1,6 +1,9 @@
 package work
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Progress is the durable state of a job's tasks. A job without such a record
 // has not started.
@@ -68,6 +71,10 @@
 	Machine     string
 	Address     string
 	Incarnation int64 `json:"Born"`
+	// LeaseLeft is set for a worker that does not answer: from the write of this record on,
+	// none of its runs lasts longer. The owner extends no lease there before it has stored
+	// the contact without this limit.
+	LeaseLeft time.Duration `json:",omitempty"`
 }
 
 // Cancellation is the durable record that a job must not run. It may exist before the job:
