Count unanswered contacts of any incarnation against caps, limits from receipt

Caps: until it has answered, a contact counts with its whole capacity against the caps of teams, but not if its incarnation differed from the registry's. So a worker that has restarted behind a cut could let a team run beyond its cap after a change of the owner. reconcilePools and unansweredCapacity share one rule now. TestUnansweredContactOfAnotherIncarnationCountsAgainstCaps guards it; it is not run against the code before.

Limits: the stated end of a silent worker's leases was counted from the begin of the tick that applied the record. A tick also applies events that arrive after its begin, seconds later if the machine is suspended in between. Now it counts from the receipt of the record.

Contacts with silent workers are checked when their limits are due and not in every tick.

--- a/dispatch/caps.go
+++ b/dispatch/caps.go
@@ -119,13 +119,9 @@
 		return sum
 	}
 	for _, contact := range p.Contacts {
-		id, known := s.workerByID.Get(contact.Worker)
-		if !known {
-			continue
-		}
-		w := s.Workers.Get(id)
+		w := s.unansweredContact(contact)
 		switch {
-		case w.tokenAccepted || w.Incarnation != contact.Incarnation:
+		case w == nil:
 		case w.Capacity == (placement.Resources{}): // no longer in the registry
 			sum = sum.Add(placement.Resources{MilliCores: unlimited, MemoryMB: unlimited, Accelerators: unlimited})
 		default:
--- a/dispatch/contacts.go
+++ b/dispatch/contacts.go
@@ -24,19 +24,34 @@
 	seenAt time.Time
 }
 
-// ApplyContacts records the stored contacts of a pool. Revisions that are not newer are
-// ignored.
-func (s *State) ApplyContacts(now time.Time, record ledger.Record) {
+// ApplyContacts records the stored contacts of a pool, which this process has received at
+// the given time. Revisions that are not newer are ignored.
+func (s *State) ApplyContacts(receivedAt time.Time, record ledger.Record) {
 	if record.Revision <= s.storedContacts[record.Key.Name].revision {
 		return
 	}
 	contacts, _ := record.Content.([]work.Contact)
-	s.storedContacts[record.Key.Name] = storedContacts{revision: record.Revision, contacts: contacts, seenAt: now}
+	s.storedContacts[record.Key.Name] = storedContacts{revision: record.Revision, contacts: contacts, seenAt: receivedAt}
 	if id, ok := s.poolByName.Get(record.Key.Name); ok {
 		s.Pools.Get(id).contactsRevision = record.Revision
 	}
 }
 
+// unansweredContact returns the worker of a contact if it has not answered this owner, or
+// nil. The registry may name an earlier incarnation than the contact, and the earlier owner
+// may have ordered runs from a later one than it knew of. So only the worker's own list
+// shows which runs exist, whatever its incarnation.
+func (s *State) unansweredContact(contact work.Contact) *Worker {
+	id, ok := s.workerByID.Get(contact.Worker)
+	if !ok {
+		return nil // a later worker is on its machine, so none of its runs exists
+	}
+	if w := s.Workers.Get(id); !w.tokenAccepted {
+		return w
+	}
+	return nil
+}
+
 // saveContacts stores which workers may hold runs, before the first start on a
 // further one, so that the next owner knows which workers to poll.
 func saveContacts(s *State, tick engine.Tick) {
@@ -52,11 +67,11 @@
 		contacts, missing := s.currentContacts(tick.Now, id)
 		stale := len(contacts) < len(p.savedContacts) && !tick.Now.Before(p.contactsSavedAt.Add(contactPruneInterval))
 		p.handoverContactsSaved = s.Stopping
-		limited, due := s.limitsDue(tick.Now, p, contacts)
-		due = due || limited && last
-		if !missing && !stale && !due {
-			if limited { // check again as soon as they may be due
-				p.contactsCheckedAt = p.contactsSavedAt
+		limited, dueAt := s.limitsDueAt(p, contacts)
+		limitsDue := limited && (last || !tick.Now.Before(dueAt))
+		if !missing && !stale && !limitsDue {
+			if limited {
+				p.contactsCheckedAt = dueAt.Add(-contactPruneInterval)
 			}
 			continue
 		}
@@ -74,21 +89,21 @@
 	}
 }
 
-// limitsDue reports whether any contact has an end of its leases to be stored, and whether
-// that is due: soon after a worker has fallen silent, and at intervals after that, since a
-// next owner that has not watched the record counts from when it reads it.
-func (s *State) limitsDue(now time.Time, p *Pool, contacts []work.Contact) (limited, due bool) {
+// limitsDueAt reports whether the contacts state an end of the leases of any worker, and when
+// that is to be stored: soon after a worker has fallen silent, and at intervals after that,
+// since a next owner that has not watched the record counts from when it reads it.
+func (s *State) limitsDueAt(p *Pool, contacts []work.Contact) (limited bool, dueAt time.Time) {
+	interval := leaseLimitInterval
 	for _, c := range contacts {
 		if c.LeaseLeft == 0 {
 			continue
 		}
-		interval := leaseLimitInterval
+		limited = true
 		if id, ok := s.workerByID.Get(c.Worker); ok && !s.Workers.Get(id).leaseLimited {
 			interval = contactPruneInterval
 		}
-		limited, due = true, due || !now.Before(p.contactsSavedAt.Add(interval))
 	}
-	return limited, due
+	return limited, p.contactsSavedAt.Add(interval)
 }
 
 // prepareContacts withdraws what the present record allows and the next one does not: a
--- a/dispatch/pools.go
+++ b/dispatch/pools.go
@@ -188,14 +188,7 @@
 		}
 		waiting, unanswered, answered := false, "", 0
 		for _, contact := range p.Contacts {
-			worker, ok := s.workerByID.Get(contact.Worker)
-			if !ok {
-				continue
-			}
-			// The registry may name an earlier incarnation than the contact, and the earlier
-			// owner may have ordered runs from a later one than it knew of. So only the
-			// worker's own list shows which runs exist, whatever its incarnation.
-			if w := s.Workers.Get(worker); w.tokenAccepted {
+			if w := s.unansweredContact(contact); w == nil {
 				answered++
 			} else {
 				unanswered, waiting = w.ID, waiting || tick.Now.Before(w.inheritedUntil)
--- a/dispatch/reconcile_test.go
+++ b/dispatch/reconcile_test.go
@@ -131,3 +131,18 @@
 		t.Errorf("the task was started %d times, saved progress is %+v", w.startCount(work.TaskName{Job: "j1"}), saved)
 	}
 }
+
+// Guards against a team that gets more than its cap after a change of the owner (QUOTA):
+// the runs on a worker that has restarted behind a cut did not count before it answered.
+func TestUnansweredContactOfAnotherIncarnationCountsAgainstCaps(t *testing.T) {
+	w := newSimulation(t, "a", "b")
+	restarted := w.workers["a"]
+	restarted.Incarnation = 2 // the registry still has 1
+	w.succeed(restarted.contact(), w.workers["b"].contact())
+	restarted.silent = true
+	w.run(100 * time.Millisecond)
+	id, _ := w.s.poolByName.Get("pool")
+	if got := w.s.unansweredCapacity(w.s.Pools.Get(id)); got != restarted.Capacity {
+		t.Errorf("the capacity of unanswered contacts is %+v, want that of worker a", got)
+	}
+}
--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -109,7 +109,7 @@
 	s.updateRequiredDuties(tick)
 	s.Ownership.LeaseValidUntil = tick.Now.Add(time.Second)
 	for _, duty := range []string{"p", machines.FleetDuty} {
-		s.applyRecord(tick, ledger.Record{Key: ledger.Key{Kind: ledger.KindOwner, Name: duty}, Revision: 20, Content: &work.Ownership{Node: "n", Incarnation: "i", Epoch: 1}})
+		s.applyRecord(tick, ledger.Record{Key: ledger.Key{Kind: ledger.KindOwner, Name: duty}, Revision: 20, Content: &work.Ownership{Node: "n", Incarnation: "i", Epoch: 1}}, tick.Now)
 	}
 	s.Mirror.Revision = 20
 	for _, revision := range []int64{19, 20} {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -242,16 +242,16 @@
 			s.Logs.Add(events.Record{Event: events.StoreEntryInvalid, Fields: []events.Field{events.Err(err), events.F("revision", e.Revision)}})
 			return
 		}
-		s.applyRecord(tick, record)
+		s.applyRecord(tick, record, receivedAt)
 	}
 }
 
-func (s *State) applyRecord(tick engine.Tick, record ledger.Record) {
+func (s *State) applyRecord(tick engine.Tick, record ledger.Record, receivedAt time.Time) {
 	switch record.Key.Kind {
 	case ledger.KindOwner, ledger.KindEpoch, ledger.KindPeer:
 		s.Ownership.Apply(tick.Now, record)
 	case ledger.KindContacts:
-		s.Dispatch.ApplyContacts(tick.Now, record)
+		s.Dispatch.ApplyContacts(receivedAt, record) // the tick may have begun before the record was written
 	case ledger.KindMachineOrder, ledger.KindMachineMove:
 		s.Machines.ApplyOrder(tick.Now, record)
 	case ledger.KindDemand:
