--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -23,26 +23,26 @@
 	maxTries    = 5
 	cancelShare = 0.1
 	crashShare  = 0.01 // jobs whose tasks crash their workers
-	// lastingTasks is the number of tasks of a job that runs until it is cancelled.
-	lastingTasks = 3
+	// longRunningTasks is the number of tasks of a job that runs until it is cancelled.
+	longRunningTasks = 3
 	// withdrawnSuffix marks the keys that are withdrawn while the soak runs.
 	withdrawnSuffix = "-withdrawn"
 )
 
 // job is the client's record of a submitted job.
 type job struct {
-	id         string
-	key        string // of its team; withdrawn keys are used for submissions only
-	submitKey  string
-	queue      string
-	tasks      int
-	accepted   bool
-	refused    bool // every try was answered 429 or 503, which guarantee that the job never runs
-	crashes    bool // its tasks crash their workers
-	lasting    bool // its tasks run until it is cancelled
-	cancelled  bool // a cancellation was sent, regardless of its response
-	finalState string
-	firstTryAt time.Time
+	id          string
+	key         string // of its team; withdrawn keys are used for submissions only
+	submitKey   string
+	queue       string
+	tasks       int
+	accepted    bool
+	refused     bool // every try was answered 429 or 503, which guarantee that the job never runs
+	crashes     bool // its tasks crash their workers
+	longRunning bool // its tasks run until it is cancelled
+	cancelled   bool // a cancellation was sent, regardless of its response
+	finalState  string
+	firstTryAt  time.Time
 }
 
 // jobClient submits jobs and keeps connections to all processes open.
@@ -119,14 +119,14 @@
 	}
 }
 
-// submitLastingJobs submits one job of long-running tasks to each of two queues, before the
+// submitLongRunningJobs submits one job of long-running tasks to each of two queues, before the
 // faults begin.
-func (c *jobClient) submitLastingJobs(ctx context.Context) {
+func (c *jobClient) submitLongRunningJobs(ctx context.Context) {
 	for n, queue := range []string{"orders", "reports"} {
-		j := &job{id: fmt.Sprintf("ffff%012x", n+1), queue: queue, key: "key-lasting", submitKey: "key-lasting", tasks: lastingTasks, lasting: true, firstTryAt: time.Now()}
+		j := &job{id: fmt.Sprintf("ffff%012x", n+1), queue: queue, key: "key-long-running", submitKey: "key-long-running", tasks: longRunningTasks, longRunning: true, firstTryAt: time.Now()}
 		c.jobs = append(c.jobs, j)
 		for !j.accepted && ctx.Err() == nil {
-			c.submit(ctx, j, fmt.Sprintf(`{"Spec":"last","Steps":[{"Count":%d,"Cpu":3000,"EstimatedMs":900,"LongRunning":true,"MaxUnavailable":1}]}`, lastingTasks))
+			c.submit(ctx, j, fmt.Sprintf(`{"Spec":"last","Steps":[{"Count":%d,"Cpu":3000,"EstimatedMs":900,"LongRunning":true,"MaxUnavailable":1}]}`, longRunningTasks))
 		}
 	}
 }
@@ -166,7 +166,7 @@
 	for {
 		unfinished = unfinished[:0]
 		for _, j := range c.jobs {
-			if j.accepted && !j.lasting && j.finalState == "" {
+			if j.accepted && !j.longRunning && j.finalState == "" {
 				if c.queryState(j); j.finalState == "" {
 					unfinished = append(unfinished, j)
 				}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -188,7 +188,7 @@
 			{"Name":"advised","Host":"shop.example","Prefix":"/advised/","Service":"orders","MaxAttempts":4,"SlowdownFactor":2,"TargetLatencyMs":600,"Advice":{"DecisionMs":5,"PeriodMs":1,"ValidityMs":3000}},
 			{"Name":"reports","Host":"shop.example","Prefix":"/reports/","Service":"reports","MaxAttempts":4,"SlowdownFactor":2,"TargetLatencyMs":600}],
 		"Services":[{"Name":"orders","RejectsOverload":true},{"Name":"reports","RejectsOverload":true},{"Name":"spare","Standby":true}],
-		"Tenants":[%s,%s,{"Name":"lasting","ApiKeys":["key-lasting"],"Weight":1}],
+		"Tenants":[%s,%s,{"Name":"long-running","ApiKeys":["key-long-running"],"Weight":1}],
 		"Limits":{"MaxBodyBytes":65536}}`, s.manifestVersion, team("large", 8000), team("small", 2000))))
 	if s.client != nil && s.client.withdrawnAt.Load() == nil {
 		now := time.Now()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -111,7 +111,7 @@
 	s.client = newJobClient(s.processes, seed)
 	s.runFaults(seed, kinds)
 	unfinished := s.client.awaitFinalStates(settleLimit)
-	s.awaitLastingJobs()
+	s.awaitLongRunningJobs()
 	s.check(unfinished)
 	if t.Failed() {
 		s.reportFailure(directory, seed)
@@ -138,7 +138,7 @@
 	var cancel context.CancelFunc
 	s.ctx, cancel = context.WithTimeout(context.Background(), *faultTime)
 	defer cancel()
-	s.client.submitLastingJobs(s.ctx)
+	s.client.submitLongRunningJobs(s.ctx)
 	var running sync.WaitGroup
 	for client := range clientCount {
 		running.Go(func() { s.client.submitJobs(s.ctx, client) })
@@ -158,12 +158,12 @@
 	running.Wait()
 }
 
-// awaitLastingJobs waits until all tasks of the jobs that run until they are cancelled run.
-func (s *soakRun) awaitLastingJobs() {
+// awaitLongRunningJobs waits until all tasks of the jobs that run until they are cancelled run.
+func (s *soakRun) awaitLongRunningJobs() {
 	for deadline := time.Now().Add(settleLimit); ; time.Sleep(100 * time.Millisecond) {
 		missing := ""
 		for _, j := range s.client.jobs {
-			if n := s.platform.Running(j.id); j.lasting && n != j.tasks {
+			if n := s.platform.Running(j.id); j.longRunning && n != j.tasks {
 				missing = fmt.Sprintf("%d of %d tasks of the long-running job %s run", n, j.tasks, j.id)
 			}
 		}
