--- a/review/cases3/fleet.go
+++ b/review/cases3/fleet.go
@@ -132,7 +132,7 @@
 	}
 	var failed error
 	for range portCount {
-		port := firstPort + (uint32(os.Getpid())*97+portsTaken.Add(1))%portCount
+		port := firstPort + (uint32(os.Getpid())*997+portsTaken.Add(1))%portCount
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			return listener, nil
