Log why a stage with room waits, and which reports a move goes by

Event 886 names the task and counts the workers with room by what keeps it off them, at most once a second and pool, for stages that have waited for 2 s. 887 gives the revision of a stored report with the ID of its write, which 823 has now, too; 857 names the revisions of the reports that released the machine and that lacked it. The checks of placement state the obstacle that they find, so that the log and the decision can't differ.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -163,19 +163,6 @@
 	return fresh
 }
 
-// allows reports whether the task may start on the candidate beside tasks on probation,
-// or on probation beside others.
-func (s *State) allows(now time.Time, c *candidate, step *work.Step, t *Task) bool {
-	switch {
-	case step.Gang: // its members can't wait for each other's probation
-		return true
-	case t.onProbation():
-		return c.w.load.onProbation == 0 && s.freshRuns(now, c.w) == 0
-	default:
-		return c.w.load.onProbation == 0 && !c.reserved
-	}
-}
-
 // reserveWorker keeps new starts off a worker until a task on probation, which has found
 // no worker without fresh runs, can start there.
 func (s *State) reserveWorker(now time.Time, step *work.Step, candidates []candidate) {
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -212,7 +212,7 @@
 		}
 	}
 	s.Out.Writes.Add(write)
-	s.log(events.DemandReported, events.F("pool", p.Name), events.F("need", demand.Need), events.F("expected", demand.Expected), events.F("have", demand.Have),
+	s.log(events.DemandReported, events.F("pool", p.Name), events.F("write", p.demandWrite), events.F("need", demand.Need), events.F("expected", demand.Expected), events.F("have", demand.Have),
 		events.F("released", len(demand.Released)), events.F("reclaimed", len(reclaim)), events.F("waiting_stages", p.ready.Len()),
 		events.F("inflow_cores", int(p.workArrivalRate(now))))
 }
@@ -224,9 +224,11 @@
 	p.demandWrite = 0
 	if result.Outcome != ledger.Applied {
 		p.demandRetryAt = now.Add(writeRetryDelay)
-		s.log(events.DemandNotSaved, events.F("pool", p.Name), events.F("outcome", result.Outcome.String()), events.Err(result.Err))
+		s.log(events.DemandNotSaved, events.F("pool", p.Name), events.F("write", result.ID), events.F("outcome", result.Outcome.String()), events.Err(result.Err))
 		return
 	}
+	s.log(events.DemandStored, events.F("pool", p.Name), events.F("write", result.ID), events.F("revision", result.Revision),
+		events.F("released", len(demand.Released)), events.F("after_ms", now.Sub(p.demandAt).Milliseconds()))
 	p.lastDemand = *demand
 	if p.firstReportRevision == 0 {
 		p.firstReportRevision = result.Revision
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
@@ -338,28 +337,6 @@
 	return best
 }
 
-func (s *State) satisfiesConstraints(now time.Time, c *candidate, stage *Stage, step *work.Step, t *Task, rack string) bool {
-	switch {
-	case c.w.load.starts >= maxStartsPerWorker && !step.Gang:
-		return false
-	case !s.allows(now, c, step, t):
-		return false
-	case c.reservedFor != 0 && c.reservedFor != t.Stage:
-		return false
-	case rack != "" && c.w.Rack != rack:
-		return false
-	case step.Label != "" && !slices.Contains(c.w.Labels, step.Label):
-		return false
-	case step.MaxPerWorker > 0 && stage.perWorker[c.id] >= step.MaxPerWorker:
-		return false
-	case step.WorkerLimit() > 0 && stage.perWorker[c.id] >= step.WorkerLimit() && !t.hasWaited(now, spreadTime):
-		return false
-	case !step.LongRunning && t.avoids(now, c.id):
-		return false
-	}
-	return true
-}
-
 // score prefers workers in the rack of the data, then workers that keep
 // latency-sensitive and best-effort tasks apart, then the least loaded.
 // Long-running tasks are packed on few workers, since a worker that hosts one
--- a/dispatch/systems.go
+++ b/dispatch/systems.go
@@ -16,6 +16,7 @@
 	{Name: "forgive slow workers", Run: forgiveSlowWorkers},
 	{Name: "restart runs of slow workers", Run: restartSlowRuns},
 	{Name: "place ready tasks", Run: placeTasks},
+	{Name: "log stages that are held up", Run: logHeldUpStages},
 	{Name: "end waits for caps", Run: endCapWaits},
 	{Name: "stop runs", Run: stopRuns},
 	{Name: "adjust speed of best-effort runs", Run: adjustBestEffortSpeed},
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -79,6 +79,7 @@
 	suspicionsSince       time.Time          // begin of the present suspicionInterval
 	suspicions            int                // runs that have come under suspicion since then
 	placementNeeded       bool               // set by any change since the last placement that may allow a start
+	heldUpCheckAt         time.Time          // next search for stages that are held up
 }
 
 // Job is an accepted job of an owned pool.
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -124,6 +124,8 @@
 	TaskGivenUp              = Event{848, log.WarnLevel, "task crashed its workers and was given up"}
 	StartFenced              = Event{849, log.InfoLevel, "start without an answer was fenced"}
 	RunSuspected             = Event{885, log.InfoLevel, "run may have crashed its worker"}
+	StageHeldUp              = Event{886, log.InfoLevel, "stage waits although workers have room for it"}
+	DemandStored             = Event{887, log.InfoLevel, "demand report of a pool was stored"}
 	WorkersReserved          = Event{877, log.InfoLevel, "workers were reserved for an overdue stage"}
 	OverloadOrder            = Event{878, log.InfoLevel, "order of ready jobs changed with the load"}
 	RunTimeLearnt            = Event{879, log.InfoLevel, "expected run time of a step changed"}
@@ -179,7 +181,7 @@
 		PoolReconciled, LeaseLimitsStored, WorkFinished, ProgressNotSaved, DemandNotSaved, DemandReported, RunOrdered, StartRefused, RunEnded,
 		RunAbandoned, RunAdopted, RunStopOrdered, RunStalled, BestEffortSpeedChanged, AdviceAnswered, RunAccepted,
 		WorkerDraining, WorkerUnregistered, WorkerIncarnationEnded, WorkerLeasesExpired, OrderFenced, WorkerUnfit,
-		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, StartFenced, RunSuspected, WorkersReserved, OverloadOrder, RunTimeLearnt, WorkerSlow, SlowRunRestarted, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
+		WorkerUnfitCapped, WorkerCrashed, TaskGivenUp, StartFenced, RunSuspected, StageHeldUp, DemandStored, WorkersReserved, OverloadOrder, RunTimeLearnt, WorkerSlow, SlowRunRestarted, MaintenanceWaveRequested, MachineChosen, MaintenanceOrdered, MaintenanceAnswered, MaintenanceWaveDone,
 		MachinesUnavailable, MaintenanceNotSaved, PoolsDivided, ManifestInForce, StoreEntryInvalid, LeaseCallFailed, SettingsReloaded,
 		LogsDropped, WorkerUnreachable, ManifestExpired, LoadReported, MachineRowInvalid, StoreReadInFull, WorkerKept, MachineMovePlanned, MachineMoveOrdered,
 		AllotmentChanged, AllotmentNotSaved, CapWaitBegan, CapWaitEnded,
--- a/machines/moves.go
+++ b/machines/moves.go
@@ -182,7 +182,7 @@
 		}
 	}
 	for chunk := range slices.Chunk(moves, maxMovesPerWrite) {
-		s.writeMoves(chunk, demandByMachine)
+		s.writeMoves(tick.Now, chunk, demandByMachine)
 	}
 }
 
@@ -252,7 +252,7 @@
 // writeMoves stores planned moves. Its conditions require that the demand report
 // that released a machine is still the latest one, and that the machine is under no
 // other order.
-func (s *State) writeMoves(moves []work.MachineOrder, demandByMachine map[string]*Demand) {
+func (s *State) writeMoves(now time.Time, moves []work.MachineOrder, demandByMachine map[string]*Demand) {
 	write := ledger.Write{ID: s.NextWrite(), NotAfter: s.Ownership.ValidUntil, Expect: []ledger.Condition{s.fenceCondition()}}
 	for i := range moves {
 		key := orderKey(&moves[i])
@@ -267,8 +267,7 @@
 			}
 		}
 		write.Put = append(write.Put, ledger.Put{Key: key, Content: &moves[i]})
-		s.log(events.MachineMovePlanned, events.F("machine", moves[i].Machine), events.F("from", moves[i].Pool), events.F("to", moves[i].Target),
-			events.F("worker", moves[i].Worker))
+		s.logPlannedMove(now, &moves[i], demandByMachine[moves[i].Machine])
 	}
 	if s.planWrites == nil {
 		s.planWrites = map[uint64][]work.MachineOrder{}
@@ -277,6 +276,22 @@
 	s.Writes.Add(write)
 }
 
+// logPlannedMove logs a move with the reports that it goes by: the one that released the
+// machine, or nil, and the one of the pool that lacks machines.
+func (s *State) logPlannedMove(now time.Time, move *work.MachineOrder, released *Demand) {
+	fields := []events.Field{
+		events.F("machine", move.Machine), events.F("from", move.Pool), events.F("to", move.Target), events.F("worker", move.Worker),
+	}
+	if released != nil {
+		fields = append(fields, events.F("released_in_revision", released.Revision), events.F("released_ms_ago", now.Sub(released.ReceivedAt).Milliseconds()))
+	}
+	if id, ok := s.demandByDuty.Get(s.Partitions.PartitionOf(move.Target, move.Machine)); ok {
+		lacking := s.Demands.Get(id)
+		fields = append(fields, events.F("lacked_in_revision", lacking.Revision), events.F("need", lacking.Need), events.F("have", lacking.Have))
+	}
+	s.log(events.MachineMovePlanned, fields...)
+}
+
 // orderRevision returns the last known revision of an order record, or 0.
 func (s *State) orderRevision(key ledger.Key) int64 {
 	if id, ok := s.orderByKey.Get(key); ok {
