Let other starts pass once a run on probation has survived its start

Cause: after two crashes of its workers a task is on probation, and its run kept all other starts off the worker until it ended, though it is known within half a second whether it has survived its start. The need of the pool counts the cores of these workers, so that no machine was asked for.

A run on probation isolates its worker until a list shows it 100 ms after its start, for 500 ms after its confirmation, or for 2 s after an order without an answer, whichever comes first; that holds for runs that a new owner finds, too. Crashes of runs that had survived their start say nothing about the start and lead to no probation (saved as Late); they still count towards giving a task up. Tasks with such crashes are kept apart where there is room.

The same cause elsewhere: reservations for a task on probation that could not start on the reserved worker, the mark of slow workers with tasks that last, and quarantined workers in the need of a pool.

TestQueueStartsBesideLongRunsWhoseWorkersHaveCrashed, TestProbationEndsOnceTheRunHasSurvivedItsStart, TestMoreTasksOnProbationThanWorkersStart, TestReservationForProbationLeavesRoomToOthers, TestSlowMarkDecaysBesideTasksThatLast and TestNeedLeavesOutQuarantinedWorkers failed before.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -13,8 +13,10 @@
 // Tasks that crash their workers. A crash is put down to the runs that had just started
 // on the worker; if there are none, to the tasks under which a worker had crashed before;
 // and if there are none either, to all that ran there. Tasks to which two crashes are put
-// down are on probation: they run on a worker that gets no other starts, so that the next
-// crash shows whether they are the cause. The others lose the suspicion by ending.
+// down are on probation: they start on a worker that gets no other starts until they have
+// survived that, so that the next crash shows whether they are the cause. A crash later in a
+// run says little about the task and leads to no probation. The others lose the suspicion by
+// ending.
 const (
 	// earlyCrash is how soon after the start of a run the contact to its worker must
 	// break for the run to be a likely cause. Other crashes seldom come so soon, and
@@ -23,8 +25,13 @@
 	// survivedStart is how long after its start a list must show a run to rule it out as a
 	// cause: a task that crashes its workers does so within some 10 ms.
 	survivedStart = 100 * time.Millisecond
-	// probationCrashes is the number of crashes from which a task is on probation.
+	// probationCrashes is the number of crashes from which a task is on probation, without
+	// those of runs that had survived their start.
 	probationCrashes = 2
+	// startProofTimeout is how long a run on probation keeps other starts off its worker at
+	// most if nothing tells whether it has begun. It exceeds the time limit of the order, after
+	// which a stop settles the start.
+	startProofTimeout = 2 * time.Second
 	// maxEarlyCrashes is the number of early crashes at which a task is given up that was
 	// the only early run in the last of them, and maxCrashes the number of all crashes.
 	// The platform allows two more starts after three crashes.
@@ -55,6 +62,7 @@
 	task   table.ID
 	number int
 	early  bool // contact to the worker was lost right after the start
+	late   bool // the worker had listed the run a while after its start
 	// inDoubt is the row of a run that the next incarnation may yet show to hold; 0 for none.
 	inDoubt table.ID
 }
@@ -77,7 +85,8 @@
 	if !w.silentSince.IsZero() {
 		lost = w.silentSince
 	}
-	return lapsedRun{task: run.Task, number: run.Number, early: began && lost.Sub(beganAt) <= earlyCrash && !run.survivedStart()}, true
+	survived := run.survivedStart()
+	return lapsedRun{task: run.Task, number: run.Number, early: began && lost.Sub(beganAt) <= earlyCrash && !survived, late: survived}, true
 }
 
 // suspectFreshRuns has the progress record name the runs that began right before their worker
@@ -141,11 +150,35 @@
 
 // survivedStart reports whether the worker has listed the run a while after its start.
 func (r *Run) survivedStart() bool {
-	return r.startClock > 0 && r.workerClock-r.startClock >= survivedStart
+	began := cmp.Or(r.startClock, r.firstClock) // a run that was found has no answer to its start
+	return began > 0 && r.workerClock-began >= survivedStart
 }
 
-// onProbation reports whether the task must run on a worker without other starts.
-func (t *Task) onProbation() bool { return len(t.CrashedRuns) >= probationCrashes }
+// onProbation reports whether the task must start on a worker without other starts.
+func (t *Task) onProbation() bool { return len(t.CrashedRuns)-t.LateCrashes >= probationCrashes }
+
+// hasCrashedRepeatedly reports whether several workers have crashed under the task, early or
+// late in its runs.
+func (t *Task) hasCrashedRepeatedly() bool { return len(t.CrashedRuns) >= probationCrashes }
+
+// isolates reports whether the run keeps other starts off its worker: its task is on
+// probation, and the run may still crash the worker by its start. That ends with time in any
+// case, so that a run which lasts keeps nothing waiting.
+func (r *Run) isolates(now time.Time) bool {
+	switch {
+	case !r.onProbation || r.survivedStart():
+		return false
+	case r.startedAt.IsZero():
+		return now.Sub(r.OrderedAt) < startProofTimeout
+	default:
+		return now.Sub(r.startedAt) < earlyCrash
+	}
+}
+
+// isIsolated reports whether a run on probation keeps other starts off the worker.
+func (s *State) isIsolated(now time.Time, w *Worker) bool {
+	return w.load.onProbation > 0 && slices.ContainsFunc(w.runs, func(id table.ID) bool { return s.Runs.Get(id).isolates(now) })
+}
 
 // mustSaveCrashes reports whether the task has to wait until its crashes are saved:
 // otherwise a next owner would start it as often again.
@@ -164,16 +197,18 @@
 }
 
 // reserveWorker keeps new starts off a worker until a task on probation, which has found
-// no worker without fresh runs, can start there.
-func (s *State) reserveWorker(now time.Time, step *work.Step, candidates []candidate) {
+// no worker without fresh runs, can start there. Only a worker where nothing else is in the
+// way is reserved, so that the reservation ends with a start.
+func (s *State) reserveWorker(now time.Time, stage *Stage, step *work.Step, t *Task, candidates []candidate) {
+	j := s.Jobs.Get(stage.Job)
 	best, fewest, reserved := -1, 0, 0
 	for i := range candidates {
 		c := &candidates[i]
-		if c.reserved || c.w.load.onProbation > 0 {
+		if c.reserved || s.isIsolated(now, c.w) {
 			reserved++
 			continue
 		}
-		if !step.Size.Fits(c.w.Capacity) || step.Label != "" && !slices.Contains(c.w.Labels, step.Label) {
+		if !step.Reserved().Fits(c.free) || stepConstraint(now, c, stage, step, t) != noObstacle || !s.mayStartOn(now, j, stage, c.w) {
 			continue
 		}
 		if fresh := s.freshRuns(now, c.w); best < 0 || fresh < fewest {
@@ -247,10 +282,13 @@
 		return
 	}
 	t.CrashedRuns = append(t.CrashedRuns, ran.number)
-	s.updateProbation(t)
 	if ran.early {
 		t.EarlyCrashes++
 	}
+	if ran.late {
+		t.LateCrashes++
+	}
+	s.updateProbation(t)
 	stage, j, _ := s.stageJobAndStep(t)
 	j.Started = true
 	s.markDirty(stage.Job, now)
@@ -292,6 +330,7 @@
 	}
 	t.CrashedRuns = slices.Delete(t.CrashedRuns, i, i+1)
 	t.EarlyCrashes = min(t.EarlyCrashes, len(t.CrashedRuns))
+	t.LateCrashes = min(t.LateCrashes, len(t.CrashedRuns)-t.EarlyCrashes)
 	s.updateProbation(t)
 	s.saveUnfinished(now, t)
 }
@@ -319,7 +358,7 @@
 	if run := s.Runs.Get(t.Run); run != nil && t.isSuspect() {
 		running = run.Number
 	}
-	return work.TaskCrashes{Index: index, Runs: slices.Clone(t.CrashedRuns), Early: t.EarlyCrashes, Running: running}
+	return work.TaskCrashes{Index: index, Runs: slices.Clone(t.CrashedRuns), Early: t.EarlyCrashes, Late: t.LateCrashes, Running: running}
 }
 
 // accountForEnd takes back what was held against a run that a worker lists as ended. The end
@@ -371,7 +410,7 @@
 	if !t.isSuspect() || !step.LongRunning || run.percent < servingPercent || now.Sub(run.startedAt) < clearedAfter {
 		return
 	}
-	t.CrashedRuns, t.EarlyCrashes = nil, 0
+	t.CrashedRuns, t.EarlyCrashes, t.LateCrashes = nil, 0, 0
 	s.updateProbation(t)
 	s.markDirty(stage.Job, now)
 }
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -260,7 +260,7 @@
 
 // machineNeed computes how many machines a pool can use.
 func (s *State) machineNeed(now time.Time, p *Pool, have []table.ID) int {
-	capacity, busy, longRunning, slow := 0, 0, 0, 0
+	capacity, busy, longRunning, closed := 0, 0, 0, 0
 	for _, id := range have {
 		w := s.Workers.Get(id)
 		capacity += w.Capacity.MilliCores
@@ -268,8 +268,8 @@
 		if w.load.longRunning > 0 {
 			longRunning++
 		}
-		if s.slowWorkers.Contains(id) {
-			slow++ // it gets hardly any tasks
+		if s.slowWorkers.Contains(id) || now.Before(w.quarantinedUntil) {
+			closed++ // it gets hardly any tasks, or none for longer than a machine takes to arrive
 		}
 	}
 	s.updateReadyOrder(now, p)
@@ -284,7 +284,7 @@
 	// as the pool must be able to run at a time, beside what waits already.
 	wanted := max(float64(busy), p.arrivalRateToServe(now, float64(busy)/1000)*1000) + waiting
 	perMachine := float64(capacity) / float64(len(have)) * usableShare
-	machines := slow + int(math.Ceil(min(wanted/max(1, perMachine), maxNeed)))
+	machines := closed + int(math.Ceil(min(wanted/max(1, perMachine), maxNeed)))
 	return p.smoothNeed(now, max(machines, longRunning+spareMachines, s.longRunningWorkers(p)+spareMachines, minMachines))
 }
 
--- a/dispatch/indexes.go
+++ b/dispatch/indexes.go
@@ -124,7 +124,7 @@
 	if t := s.Tasks.Get(run.Task); t != nil {
 		step := stepOf(s, t)
 		run.longRunning, run.latencySensitive, run.bestEffort = step.LongRunning, step.LatencyTarget > 0, step.BestEffort
-		run.onProbation = t.onProbation()
+		run.onProbation, run.crashed = t.onProbation(), t.hasCrashedRepeatedly()
 		run.kind = s.kindOf(t)
 	}
 	if t := s.Tasks.Get(run.surplusOf); t != nil {
@@ -158,6 +158,7 @@
 	add(&l.latencySensitive, run.latencySensitive)
 	add(&l.bestEffort, run.bestEffort)
 	add(&l.onProbation, run.onProbation)
+	add(&l.crashed, run.crashed)
 }
 
 // updateRunLoad applies a change to a run and corrects the load of its worker.
@@ -173,10 +174,10 @@
 	s.updateRunLoad(run, func() { run.State = state })
 }
 
-// updateProbation records on the present run of a task whether the task is on probation.
+// updateProbation records on the present run of a task what its crashes call for.
 func (s *State) updateProbation(t *Task) {
-	if run := s.Runs.Get(t.Run); run != nil && run.onProbation != t.onProbation() {
-		s.updateRunLoad(run, func() { run.onProbation = t.onProbation() })
+	if run := s.Runs.Get(t.Run); run != nil {
+		s.updateRunLoad(run, func() { run.onProbation, run.crashed = t.onProbation(), t.hasCrashedRepeatedly() })
 	}
 }
 
--- a/dispatch/obstacles.go
+++ b/dispatch/obstacles.go
@@ -64,7 +64,7 @@
 	switch {
 	case c.w.load.starts >= maxStartsPerWorker && !step.Gang:
 		return obstacleStartsInFlight
-	case !step.Gang && c.w.load.onProbation > 0: // members of a gang can't wait for each other's probation
+	case !step.Gang && s.isIsolated(now, c.w): // members of a gang can't wait for each other's probation
 		return obstacleProbation
 	case !step.Gang && t.onProbation() && s.freshRuns(now, c.w) > 0:
 		return obstacleProbation
@@ -74,6 +74,13 @@
 		return obstacleReservedForOverdue
 	case rack != "" && c.w.Rack != rack:
 		return obstacleRack
+	}
+	return stepConstraint(now, c, stage, step, t)
+}
+
+// stepConstraint returns what keeps a task off a candidate whatever has started there lately.
+func stepConstraint(now time.Time, c *candidate, stage *Stage, step *work.Step, t *Task) obstacle {
+	switch {
 	case step.Label != "" && !slices.Contains(c.w.Labels, step.Label):
 		return obstacleLabel
 	case step.MaxPerWorker > 0 && stage.perWorker[c.id] >= step.MaxPerWorker:
--- a/dispatch/occurrences.go
+++ b/dispatch/occurrences.go
@@ -153,7 +153,7 @@
 	for _, crashed := range saved.Crashed {
 		if crashed.Index < len(stage.Tasks) {
 			t := s.Tasks.Get(stage.Tasks[crashed.Index])
-			t.CrashedRuns, t.EarlyCrashes = t.restoreRuns(crashed.Runs), crashed.Early
+			t.CrashedRuns, t.EarlyCrashes, t.LateCrashes = t.restoreRuns(crashed.Runs), crashed.Early, crashed.Late
 			t.unaccountedRun, t.LastRun = crashed.Running, max(t.LastRun, crashed.Running)
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -250,7 +250,7 @@
 		}
 		best := s.bestCandidate(tick, stage, j, step, t, candidates, "")
 		if best < 0 && t.onProbation() {
-			s.reserveWorker(tick.Now, step, candidates)
+			s.reserveWorker(tick.Now, stage, step, t, candidates)
 			continue
 		}
 		if best < 0 {
@@ -340,7 +340,7 @@
 // score prefers workers in the rack of the data, then workers that keep
 // latency-sensitive and best-effort tasks apart, then the least loaded.
 // Long-running tasks are packed on few workers, since a worker that hosts one
-// can't be switched off.
+// can't be switched off. Tasks whose workers have crashed are kept apart from others.
 func (c *candidate) score(step *work.Step, t *Task) float64 {
 	score := float64(c.free.MilliCores) / float64(max(1, c.w.Capacity.MilliCores))
 	if step.Rack != "" && c.w.Rack == step.Rack {
@@ -352,6 +352,9 @@
 	if step.LongRunning && c.w.load.longRunning > 0 {
 		score += 1.5
 	}
+	if c.w.load.crashed > 0 || t.hasCrashedRepeatedly() && len(c.w.runs) > 0 {
+		score -= 2 // the next crash shows whether the one task is the cause
+	}
 	if step.LongRunning && (c.w.maintenancePending || c.longLease) {
 		score -= 3
 	}
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
@@ -135,17 +136,25 @@
 	return s.slowWorkers.Len() == 0 || !s.slowWorkers.Contains(id) || len(w.runs) == 0 && !now.Before(w.nextProbeAt)
 }
 
-// forgiveSlowWorkers clears the marks of workers whose suspicion has decayed without runs.
+// forgiveSlowWorkers clears the marks of workers whose suspicion has decayed without runs
+// that are rated. Others, as tasks that last, would keep the mark and all starts off for good.
 func forgiveSlowWorkers(s *State, tick engine.Tick) {
 	for i := s.slowWorkers.Len() - 1; i >= 0; i-- {
 		id := s.slowWorkers.At(i)
 		s.visitedIndexed++
-		if w := s.Workers.Get(id); len(w.runs) == 0 {
+		if w := s.Workers.Get(id); !slices.ContainsFunc(w.runs, s.isRated) {
 			s.updateSlow(tick.Now, id, w, 0)
 		}
 	}
 }
 
+// isRated reports whether the lists of a worker tell the rate of a run.
+func (s *State) isRated(id table.ID) bool {
+	run := s.Runs.Get(id)
+	t := s.Tasks.Get(run.Task)
+	return t != nil && run.comparable(stepOf(s, t))
+}
+
 // restartSlowRuns stops runs on slow workers that would miss the deadline there, if their
 // task can meet it elsewhere. The task starts again from its checkpoint, if it has one.
 func restartSlowRuns(s *State, tick engine.Tick) {
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -183,6 +183,8 @@
 	CrashedRuns []int // numbers of the runs under which a worker crashed
 	// EarlyCrashes is how many of CrashedRuns the worker did not survive for earlyCrash.
 	EarlyCrashes int
+	// LateCrashes is how many of CrashedRuns had survived their start.
+	LateCrashes int
 	// unaccountedRun is a run of an earlier owner that may have crashed its worker, until its
 	// worker or its end is found; 0 for none.
 	unaccountedRun int
@@ -271,7 +273,7 @@
 	// incarnation holds it, and crashProven if it was the only early run in that crash.
 	crashInDoubt, crashProven bool
 	// The kind of its task, as counted in the load of the worker.
-	longRunning, latencySensitive, bestEffort, onProbation bool
+	longRunning, latencySensitive, bestEffort, onProbation, crashed bool
 }
 
 // workerLoad counts the runs on a worker by what placement needs to know of them.
@@ -280,7 +282,8 @@
 	longRunning      int
 	latencySensitive int // tasks with a latency target
 	bestEffort       int
-	onProbation      int
+	onProbation      int // of tasks on probation, also those that have survived their start
+	crashed          int // of tasks under which workers have crashed repeatedly
 }
 
 // Worker is a worker in the registry, or one that was removed from it but may
--- a/work/records.go
+++ b/work/records.go
@@ -28,6 +28,7 @@
 	Index int
 	Runs  []int // numbers of the runs under which a worker crashed
 	Early int   // how many of them crashed right after their start
+	Late  int   `json:",omitempty"` // how many of them had survived their start
 	// Running is the number of a run that was ordered after a crash and had not ended when
 	// the record was written, or of a run after whose start its worker had stopped answering,
 	// or 0.
