Have each demand report name the one that it replaces

Cause: the write of a report had the owner's record as its only condition. A report of released machines got no answer; the next one took them back and was stored; 2.4 s later the store executed the first one, which replaced it, and 20 ms after that the owner of the fleet planned the moves.

Each report names the revision that it replaces, known from answers, conflicts and the local copy of the store, so that a report is void once a later one is stored. The next one neither waits for one without an answer (up to four may be under way, if urgent) nor is refused for good; its owner recognizes a stored one by the ID of its write. A released worker is used again only by a report that reclaims it on the condition that no move is planned: one that left it out for another reason was enough before.

The stand-in executes writes of all kinds late, and the soak has the fault writes-late.

--- a/dispatch/caps.go
+++ b/dispatch/caps.go
@@ -368,8 +368,7 @@
 
 // teamsUrgent reports whether the owner of the fleet needs a report at once: a team lacks
 // more than was reported, or the report lets it lend an amount to others.
-func (s *State) teamsUrgent(p *Pool, demand *work.Demand) bool {
-	old := &p.lastDemand
+func (s *State) teamsUrgent(p *Pool, old, demand *work.Demand) bool {
 	for _, t := range demand.Teams {
 		before, team := teamDemand(old, t.Team), s.Team(t.Team)
 		if t.Waiting == (placement.Resources{}) || team == nil {
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -6,33 +6,13 @@
 	"slices"
 	"time"
 
-	"github.com/waxwingbridge/waxwingbridge/engine"
-	"github.com/waxwingbridge/waxwingbridge/events"
-	"github.com/waxwingbridge/waxwingbridge/ledger"
 	"github.com/waxwingbridge/waxwingbridge/table"
-	"github.com/waxwingbridge/waxwingbridge/work"
 )
 
 const (
-	// urgentReportInterval is the shortest interval between two reports while
-	// the pool lacks machines. It is short because a machine takes 1.5 s to
-	// arrive, while a phase of the load lasts only about 8 s.
-	urgentReportInterval = 80 * time.Millisecond
-	// reportInterval is the shortest interval otherwise; each report has a cost.
-	reportInterval = 400 * time.Millisecond
-	// demandCheckInterval is the shortest interval between two computations of the
-	// demand, which visit all workers of the pool: events come far more often at a
-	// peak, and the computed demand hardly changes with one of them.
-	demandCheckInterval = 20 * time.Millisecond
-	// maxReportInterval is the longest interval between two reports, so that the
-	// owner of the fleet can tell an unchanged demand from a lost pool owner.
-	maxReportInterval = 4 * time.Second
 	// usableShare is the share of a machine's capacity that placement can use
 	// for tasks of mixed sizes.
 	usableShare = 0.85
-	// releaseReportInterval is the shortest interval between two reports that
-	// release more machines. It is short because another pool may lack them.
-	releaseReportInterval = 160 * time.Millisecond
 	// needWindow is the minimum time for which a past need keeps machines in the
 	// pool. It can be short, since machines released by mistake are reclaimed
 	// with a single report.
@@ -65,9 +45,6 @@
 	// maxGrowth bounds the factor by which a rising rate is extrapolated over the time
 	// that a machine takes to arrive.
 	maxGrowth = 2.0
-	// maxReclaimed bounds the conditions of a report, so that it stays within
-	// the 32 entries of a store transaction.
-	maxReclaimed = 24
 )
 
 // arrival is the work of a recently accepted job.
@@ -132,114 +109,6 @@
 	return min(maxGrowth*rate, rate+2*(rate-minGrowth*earlier))
 }
 
-// releasesVoided reports whether the workers that an earlier owner released may
-// be used again. This owner's first report voids those releases, and the local
-// copy of the store must have reached it to contain every move that was planned
-// before.
-func (s *State) releasesVoided(p *Pool) bool {
-	return p.firstReportRevision != 0 && s.Mirror.Revision >= p.firstReportRevision
-}
-
-// reportDemand reports to the owner of the fleet how many machines each pool
-// needs and which workers it releases.
-func reportDemand(s *State, tick engine.Tick) {
-	for id, p := range s.Pools.All() {
-		if !s.mayOrder(p, tick.Now) || p.demandWrite != 0 || tick.Now.Before(p.demandRetryAt) || tick.Now.Before(p.demandAt.Add(urgentReportInterval)) ||
-			tick.Now.Before(p.demandCheckedAt.Add(demandCheckInterval)) {
-			continue
-		}
-		p.demandCheckedAt = tick.Now
-		if p.firstReportRevision == 0 {
-			first := work.Demand{Need: minMachines, Have: minMachines}
-			s.reportTeams(id, &first)
-			s.writeDemand(tick.Now, id, first, nil)
-			continue
-		}
-		have := s.availableWorkers(tick.Now, id)
-		s.updateForecast(tick.Now, p)
-		demand := work.Demand{Need: s.machineNeed(tick.Now, p, have), Have: len(have), Expected: s.expectedMachines(tick.Now, p, have)}
-		reclaim := s.adjustSurplus(tick.Now, p, have, max(demand.Need+spareMachines, demand.Expected))
-		reclaim = s.keepForWaitingStages(tick, p, have, reclaim)
-		for _, workerID := range have {
-			if w := s.Workers.Get(workerID); w.surplus && w.holdsNothing() && w.Machine != "" && !slices.Contains(reclaim, workerID) {
-				demand.Released = append(demand.Released, w.ID)
-			}
-		}
-		s.reportTeams(id, &demand)
-		if s.shouldReport(tick.Now, p, &demand, reclaim) {
-			s.writeDemand(tick.Now, id, demand, reclaim)
-		}
-	}
-}
-
-func (s *State) shouldReport(now time.Time, p *Pool, demand *work.Demand, reclaim []table.ID) bool {
-	old := &p.lastDemand
-	if len(reclaim) > 0 || s.teamsUrgent(p, demand) || (demand.Need > demand.Have && demand.Need-demand.Have > old.Need-old.Have) ||
-		(demand.Expected > demand.Have && demand.Expected-demand.Have > old.Expected-old.Have) {
-		return true
-	}
-	if len(demand.Released) > len(old.Released) && !now.Before(p.demandAt.Add(releaseReportInterval)) {
-		return true
-	}
-	if now.Before(p.demandAt.Add(reportInterval)) {
-		return false
-	}
-	same := old.Have == demand.Have && (old.Need == demand.Need || max(old.Need, demand.Need) <= demand.Have) &&
-		(old.Expected == demand.Expected || max(old.Expected, demand.Expected) <= demand.Have) &&
-		slices.Equal(old.Released, demand.Released) && s.sameTeams(old, demand)
-	return !same || !now.Before(p.demandAt.Add(maxReportInterval))
-}
-
-// writeDemand stores a report, on the condition that no move is planned for the
-// machine of a reclaimed worker.
-func (s *State) writeDemand(now time.Time, id table.ID, demand work.Demand, reclaim []table.ID) {
-	p := s.Pools.Get(id)
-	p.demandAt, p.demandWrite = now, s.NextWrite()
-	s.pendingWrites[p.demandWrite] = pendingWrite{pool: id, demand: &demand}
-	write := ledger.Write{
-		ID: p.demandWrite, NotAfter: p.OwnedUntil,
-		Expect: []ledger.Condition{{Key: ledger.Key{Kind: ledger.KindOwner, Name: p.Name}, Revision: p.Token}},
-		Put:    []ledger.Put{{Key: ledger.Key{Kind: ledger.KindDemand, Name: p.Name}, Content: &demand}},
-	}
-	for _, workerID := range reclaim {
-		write.Expect = append(write.Expect, ledger.Condition{
-			Key: ledger.Key{Kind: ledger.KindMachineMove, Name: s.Workers.Get(workerID).Machine},
-		})
-	}
-	for _, name := range demand.Released { // the write may be applied even if its answer is lost
-		if workerID, ok := s.workerByID.Get(name); ok {
-			s.Workers.Get(workerID).released = true
-		}
-	}
-	s.Out.Writes.Add(write)
-	s.log(events.DemandReported, events.F("pool", p.Name), events.F("write", p.demandWrite), events.F("need", demand.Need), events.F("expected", demand.Expected), events.F("have", demand.Have),
-		events.F("released", len(demand.Released)), events.F("reclaimed", len(reclaim)), events.F("waiting_stages", p.ready.Len()),
-		events.F("inflow_cores", int(p.workArrivalRate(now))))
-}
-
-// demandSaved records the result of writing a report. Released workers that the
-// stored report no longer lists may be used again.
-func (s *State) demandSaved(now time.Time, id table.ID, demand *work.Demand, result ledger.WriteResult) {
-	p := s.Pools.Get(id)
-	p.demandWrite = 0
-	if result.Outcome != ledger.Applied {
-		p.demandRetryAt = now.Add(writeRetryDelay)
-		s.log(events.DemandNotSaved, events.F("pool", p.Name), events.F("write", result.ID), events.F("outcome", result.Outcome.String()), events.Err(result.Err))
-		return
-	}
-	s.log(events.DemandStored, events.F("pool", p.Name), events.F("write", result.ID), events.F("revision", result.Revision),
-		events.F("released", len(demand.Released)), events.F("after_ms", now.Sub(p.demandAt).Milliseconds()))
-	p.lastDemand = *demand
-	if p.firstReportRevision == 0 {
-		p.firstReportRevision = result.Revision
-	}
-	for _, w := range s.workersOf(id) {
-		if w.released && !slices.Contains(demand.Released, w.ID) {
-			w.released, w.surplus, p.placementNeeded, p.contactsChanged = false, false, true, true
-		}
-	}
-}
-
 // maxFailedPolls is the number of consecutive unanswered polls after which a
 // worker is not counted, because the registry lists workers for some seconds
 // after they left.
--- a/dispatch/save.go
+++ b/dispatch/save.go
@@ -125,8 +125,8 @@
 	if p == nil {
 		return true
 	}
-	if pending.demand != nil {
-		s.demandSaved(tick.Now, pending.pool, pending.demand, result)
+	if pending.isReport {
+		s.reportAnswered(tick.Now, pending.pool, result)
 		return true
 	}
 	if pending.jobs == nil {
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -62,7 +62,7 @@
 	lastDemand            work.Demand           // last stored report
 	demandCheckedAt       time.Time
 	demandAt              time.Time
-	demandWrite           uint64
+	reports               []sentReport // that may be stored, in the order in which they were sent
 	demandRetryAt         time.Time
 	firstReportRevision   int64 // store revision of this owner's first report; 0 before it
 	startBudget           int   // starts that the current placement pass may still order
@@ -433,6 +433,7 @@
 	hasCaps           bool                     // the manifest in force has a team with a cap
 	latestWorkers     map[string]machineWorker // by machine
 	storedContacts    map[string]storedContacts
+	storedReports     map[string]storedReport
 	pendingWrites     map[uint64]pendingWrite
 	dueOccurrences    table.Heap[time.Time] // jobs, by the due time of their next occurrence
 	dueStages         table.Heap[time.Time] // stages that wait for their due time
@@ -467,7 +468,7 @@
 	pool     table.ID
 	jobs     []table.ID
 	contacts []work.Contact
-	demand   *work.Demand
+	isReport bool // of the demand
 }
 
 // New returns an empty state.
@@ -475,7 +476,7 @@
 	config.LongestHold = max(config.LongestHold, config.MaxLease)
 	return &State{
 		IsPool: func(string) bool { return true }, Team: func(string) *work.Team { return nil }, Config: config, Mirror: jobs, NextWrite: nextWrite, TimeOfDay: timeOfDay,
-		underMaintenance: map[string]bool{}, storedContacts: map[string]storedContacts{}, latestWorkers: map[string]machineWorker{}, pendingWrites: map[uint64]pendingWrite{},
+		underMaintenance: map[string]bool{}, storedContacts: map[string]storedContacts{}, storedReports: map[string]storedReport{}, latestWorkers: map[string]machineWorker{}, pendingWrites: map[uint64]pendingWrite{},
 	}
 }
 
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -88,6 +88,10 @@
 	// failKind has the effect of storeDown on writes of records of this kind.
 	failKind ledger.Kind
 	demand   *work.Demand // last stored report of the pool
+	// revisions are those of the stored reports and moves, on which writes may depend.
+	revisions map[ledger.Key]int64
+	// interceptWrite reports whether it takes the write in place of the store.
+	interceptWrite func(ledger.Write) bool
 	// holdWrites keeps writes of records of this kind in flight until releaseWrites.
 	holdWrites  ledger.Kind
 	heldWrites  []ledger.Write
@@ -114,7 +118,7 @@
 }
 
 func (w *simulation) init(t *testing.T) {
-	*w = simulation{t: t, now: simulationStart, ledger: &ledger.JobMirror{}, workers: map[string]*fakeWorker{}, runTime: 300 * time.Millisecond, saved: map[string]*work.Progress{}, asked: map[string]int{}}
+	*w = simulation{t: t, now: simulationStart, ledger: &ledger.JobMirror{}, workers: map[string]*fakeWorker{}, runTime: 300 * time.Millisecond, saved: map[string]*work.Progress{}, revisions: map[ledger.Key]int64{}, asked: map[string]int{}}
 	nextWrite := func() uint64 { w.lastID++; return w.lastID }
 	w.s = New(Config{MaxLease: simulationMaxLease, LongestHold: simulationMaxHold}, w.ledger, nextWrite, func() time.Time { return w.now })
 	w.ledger.Synced, w.ledger.Revision = true, 10
@@ -272,6 +276,9 @@
 		w.s.AdviceReceived(tick, request, tickets, ticketValidity, nil)
 	}
 	for _, write := range drained[ledger.Write](&w.s.Out.Writes) {
+		if w.interceptWrite != nil && w.interceptWrite(write) {
+			continue
+		}
 		if w.holdWrites != 0 && len(write.Put) > 0 && write.Put[0].Key.Kind == w.holdWrites {
 			w.heldWrites = append(w.heldWrites, write)
 			continue
@@ -377,8 +384,13 @@
 		w.s.WriteDone(tick, ledger.WriteResult{ID: write.ID, Outcome: ledger.Unknown})
 		return
 	}
+	if current, conflict := w.conflict(&write); conflict {
+		w.s.WriteDone(tick, ledger.WriteResult{ID: write.ID, Outcome: ledger.Conflict, Current: current})
+		return
+	}
 	w.ledger.Revision++
 	for _, put := range write.Put {
+		w.revisions[put.Key] = w.ledger.Revision
 		if progress, ok := put.Content.(*work.Progress); ok {
 			w.saved[put.Key.Name] = progress
 		}
@@ -393,6 +405,22 @@
 	w.s.WriteDone(tick, ledger.WriteResult{ID: write.ID, Outcome: ledger.Applied, Revision: w.ledger.Revision})
 }
 
+// conflict reports whether a condition on a report or a move does not hold, with the present
+// records of these conditions.
+func (w *simulation) conflict(write *ledger.Write) (current []ledger.Record, conflict bool) {
+	for _, c := range write.Expect {
+		if c.Key.Kind != ledger.KindDemand && c.Key.Kind != ledger.KindMachineMove {
+			continue
+		}
+		record := ledger.Record{Key: c.Key, Revision: w.revisions[c.Key], Deleted: w.revisions[c.Key] == 0}
+		if c.Key.Kind == ledger.KindDemand && !record.Deleted {
+			record.Content = w.demand
+		}
+		current, conflict = append(current, record), conflict || record.Revision != c.Revision
+	}
+	return current, conflict
+}
+
 // releaseWrites applies the writes that were held in flight.
 func (w *simulation) releaseWrites() {
 	w.holdWrites = 0
--- a/entry/allotment.go
+++ b/entry/allotment.go
@@ -20,6 +20,7 @@
 		Need, Have int
 		Expected   int `json:",omitempty"`
 		Released   []string
+		Write      uint64             `json:",omitempty"`
 		Teams      []storedTeamDemand `json:",omitempty"`
 		Obeyed     int64              `json:",omitempty"`
 		Incomplete bool               `json:",omitempty"`
@@ -58,7 +59,7 @@
 func (a storedAmount) isValid() bool { return a[0] >= 0 && a[1] >= 0 && a[2] >= 0 }
 
 func storeDemand(d *work.Demand) storedDemand {
-	stored := storedDemand{Need: d.Need, Have: d.Have, Expected: d.Expected, Released: d.Released, Obeyed: d.Obeyed, Incomplete: d.Incomplete}
+	stored := storedDemand{Need: d.Need, Have: d.Have, Expected: d.Expected, Released: d.Released, Write: d.Write, Obeyed: d.Obeyed, Incomplete: d.Incomplete}
 	for _, t := range d.Teams {
 		stored.Teams = append(stored.Teams, storedTeamDemand{Team: t.Team, Use: storeAmount(t.Use), Waiting: storeAmount(t.Waiting), Next: storeAmount(t.Next)})
 	}
@@ -70,7 +71,7 @@
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return nil, err
 	}
-	demand := &work.Demand{Need: stored.Need, Have: stored.Have, Expected: stored.Expected, Released: stored.Released, Obeyed: stored.Obeyed, Incomplete: stored.Incomplete}
+	demand := &work.Demand{Need: stored.Need, Have: stored.Have, Expected: stored.Expected, Released: stored.Released, Write: stored.Write, Obeyed: stored.Obeyed, Incomplete: stored.Incomplete}
 	for _, t := range stored.Teams {
 		if !t.Use.isValid() || !t.Waiting.isValid() || !t.Next.isValid() {
 			return nil, errors.Newf("team %q: an amount is negative", t.Team)
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -108,26 +108,52 @@
 	return result
 }
 
-// currentRecords decodes the items that caused a write conflict. Items that
-// cannot be decoded are skipped and returned as an error.
+// currentRecords decodes the items that caused a write conflict. Items that cannot be decoded
+// are returned as an error. Those whose writers need nothing but the revision are returned
+// without content as well, so that no unreadable item refuses their writes for good.
 func currentRecords(items []platform.Item) ([]ledger.Record, error) {
 	var all []ledger.Record
 	var failed error
 	for _, item := range items {
-		if len(item.Key) <= len(platform.RecordPrefix) {
+		item.Deleted = item.Deleted || item.Revision == 0
+		record, err := recordFromStore(item)
+		failed = errors.CombineErrors(failed, err)
+		switch record.Key.Kind {
+		case 0:
 			continue
+		case ledger.KindDemand, ledger.KindWaveStatus, ledger.KindPeer:
+		default:
+			if err != nil {
+				continue
+			}
 		}
-		missing := item.Deleted || item.Revision == 0
-		record, err := recordFromItem(item.Key[len(platform.RecordPrefix):], item.Value, item.Revision, item.CreateRevision, missing)
 		if err != nil {
-			failed = errors.CombineErrors(failed, err)
-			continue
+			record.Content = nil
 		}
 		all = append(all, record)
 	}
 	return all, failed
 }
 
+// recordFromStore decodes an item with its full key. A record with an error has no content, and
+// one of an unknown kind has no key.
+func recordFromStore(item platform.Item) (ledger.Record, error) {
+	entry, used, err := platform.DecodeEntry(item)
+	switch {
+	case !used:
+		return ledger.Record{}, errors.Newf("store key %s is of no record", item.Key)
+	case entry.Kind == platform.EntryRecord:
+		return recordFromItem(entry.Name, entry.Record, item.Revision, item.CreateRevision, item.Deleted)
+	case entry.Kind != platform.EntryWaveStatus:
+		return ledger.Record{}, err
+	}
+	record := ledger.Record{Key: ledger.Key{Kind: ledger.KindWaveStatus, Name: entry.Name}, Revision: item.Revision, Deleted: item.Deleted}
+	if err == nil && !item.Deleted {
+		record.Content = entry.Completed
+	}
+	return record, err
+}
+
 func (p *Process) callLease(ctx context.Context, call ownership.LeaseCall) event {
 	answer := leaseAnswered{call: call, sentAt: now(), ttl: ownership.LeaseTTL}
 	switch call.Verb {
--- a/entry/process_test.go
+++ b/entry/process_test.go
@@ -46,7 +46,16 @@
 }
 
 func newSite(t *testing.T, processes int) *site {
-	p, err := standin.Start(standin.Pool{Name: "orders", Machines: 4}, standin.Pool{Name: "reports", Machines: 4},
+	s := newSiteOf(t, 4)
+	for range processes {
+		s.start()
+	}
+	return s
+}
+
+// newSiteOf returns a site without processes and with so many machines in each pool.
+func newSiteOf(t *testing.T, machines int) *site {
+	p, err := standin.Start(standin.Pool{Name: "orders", Machines: machines}, standin.Pool{Name: "reports", Machines: machines},
 		standin.Pool{Name: "spare", Machines: 2, Standby: true})
 	if err != nil {
 		t.Fatal(err)
@@ -54,9 +63,6 @@
 	s := &site{t: t, platform: p, processes: map[string]*Process{}, clients: map[string]string{}}
 	t.Cleanup(s.stop)
 	s.manifest(1, "orders")
-	for range processes {
-		s.start()
-	}
 	return s
 }
 
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -255,6 +255,7 @@
 	case ledger.KindMachineOrder, ledger.KindMachineMove:
 		s.Machines.ApplyOrder(tick.Now, record)
 	case ledger.KindDemand:
+		s.Dispatch.ApplyDemand(tick.Now, record)
 		s.Machines.ApplyDemand(tick.Now, record)
 		s.Quota.ApplyReport(tick.Now, record)
 		s.Intake.Admission.Load.ApplyReport(tick.Now, record)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -98,6 +98,7 @@
 		s.restartDark(r, false)
 		s.restartProcess(r, syscall.SIGKILL)
 	}},
+	{"writes-late", func(s *soakRun, r *rand.Rand) { s.injectPlatformFaults(r, standin.Faults{LateWrites: 0.35}) }},
 }
 
 // maxOrderDelay is the longest delay of an order that gets no answer, as on the platform.
--- a/work/records.go
+++ b/work/records.go
@@ -110,6 +110,8 @@
 	// the owner starts nothing there until a later report without them is
 	// stored.
 	Released []string
+	// Write is the ID of the write by which its owner recognizes it in the store.
+	Write uint64
 	// Teams lists the teams with a cap that use something or wait for their cap.
 	Teams []TeamDemand
 	// Obeyed is the revision of the allotment that the owner obeys; 0 without one.
