Name the job in the cancellation of it

A cancellation of a known job had no condition. One that got no answer and is executed late could cancel a later job of the same ID that nobody has cancelled.

It is now conditional on the revision of the job record, which never changes while the job is stored. If the job has been removed, the cancellation is stored on the condition that there is none, as for any job that isn't stored, and answered so.

TestCancellationNamesTheJobThatItCancels failed before. TestCancellationMeetsALateSubmission asked for a cancellation without a condition; it now asks for exactly the condition on the job that is stored, which is stricter.

--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -60,8 +60,9 @@
 	}})
 	h.tick(20 * time.Millisecond)
 	writes := h.writes()
-	if len(writes) != 1 || len(writes[0].Expect) != 0 || writes[0].Put[0].Key.Kind != ledger.KindCancel {
-		t.Fatalf("writes are %+v, want the cancellation without a condition", writes)
+	stored := ledger.Condition{Key: ledger.Key{Kind: ledger.KindJob, Name: "a"}, Revision: 8}
+	if len(writes) != 1 || len(writes[0].Expect) != 1 || writes[0].Expect[0] != stored || writes[0].Put[0].Key.Kind != ledger.KindCancel {
+		t.Fatalf("writes are %+v, want the cancellation of the job that is stored now", writes)
 	}
 	h.s.WriteDone(engine.Tick{Now: h.now}, ledger.WriteResult{ID: writes[0].ID, Outcome: ledger.Applied, Revision: 9})
 	if r := h.replies(); r[1].Outcome != Accepted {
@@ -102,3 +103,31 @@
 		t.Errorf("the reply is %+v after %d lookups", r[2], lookups)
 	}
 }
+
+// Guards against a cancellation that is executed late and cancels a later job of the same ID,
+// and against one that is repeated in every tick since its job has been removed.
+func TestCancellationNamesTheJobThatItCancels(t *testing.T) {
+	h := newHarness()
+	job := ledger.Key{Kind: ledger.KindJob, Name: "a"}
+	h.s.Mirror.Apply(h.now, ledger.Record{Key: job, Content: &work.Job{ID: "a", Queue: "q"}, Revision: 8, CreateRevision: 8})
+	h.receive(1, Cancel, "a")
+	h.tick(time.Millisecond)
+	writes := h.writes()
+	if len(writes) != 1 || len(writes[0].Expect) != 1 || writes[0].Expect[0] != (ledger.Condition{Key: job, Revision: 8}) {
+		t.Fatalf("writes are %+v, want the cancellation of the job at revision 8", writes)
+	}
+	h.s.WriteDone(engine.Tick{Now: h.now}, ledger.WriteResult{ID: writes[0].ID, Outcome: ledger.Conflict, Current: []ledger.Record{{Key: job, Deleted: true}}})
+	h.tick(time.Millisecond)
+	if writes := h.writes(); len(writes) != 0 {
+		t.Errorf("%+v is written at once, though the mirror has not changed", writes)
+	}
+	h.s.Mirror.Apply(h.now, ledger.Record{Key: job, Deleted: true, Revision: 9})
+	h.tick(2 * writeRetryDelay)
+	if writes = h.writes(); len(writes) != 1 || writes[0].Expect[0] != (ledger.Condition{Key: job}) {
+		t.Fatalf("writes are %+v, want the cancellation if the job does not exist", writes)
+	}
+	h.s.WriteDone(engine.Tick{Now: h.now}, ledger.WriteResult{ID: writes[0].ID, Outcome: ledger.Applied, Revision: 10})
+	if r := h.replies(); r[1].Outcome != JobNotFound {
+		t.Errorf("the reply is %+v", r[1])
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -309,7 +309,8 @@
 
 // writeRequests commits held submissions and cancellations in one write. The cancellation
 // of a job that is not stored requires that it still isn't: its submission may be on its
-// way, and the job must not run after the cancellation was answered.
+// way, and the job must not run after the cancellation was answered. Any other one names the
+// job that it cancels, so that one which is executed late cancels no later job of that ID.
 func writeRequests(s *State, tick engine.Tick) {
 	if len(s.writes) >= maxWritesInFlight || (len(s.writes) > 0 && tick.Now.Before(s.lastWriteAt.Add(batchInterval))) {
 		return
@@ -325,9 +326,11 @@
 			continue
 		}
 		batched[r.Job] = true
-		if !s.isKnown(r.Job) {
-			write.Expect = append(write.Expect, ledger.Condition{Key: ledger.Key{Kind: ledger.KindJob, Name: r.Job}})
+		condition := ledger.Condition{Key: ledger.Key{Kind: ledger.KindJob, Name: r.Job}}
+		if _, job := s.Mirror.Find(r.Job); job != nil && job.Spec != nil {
+			condition.Revision = job.Revision
 		}
+		write.Expect = append(write.Expect, condition)
 		write.Put = append(write.Put, ledger.Put{Key: r.key(), Content: r.content()})
 		r.writeID = write.ID
 		row := written{request: id}
@@ -410,6 +413,9 @@
 				outcome = OtherTeam
 			}
 			s.complete(tick, id, Reply{Outcome: outcome})
+		case result.Outcome == ledger.Conflict && r.Verb == Cancel && s.isKnown(r.Job) && !exists[r.Job]:
+			r.notStored = true // the job has been removed, as the mirror will show
+			r.retryAt = tick.Now.Add(writeRetryDelay)
 		case result.Outcome == ledger.Conflict:
 			// Another job of the batch exists already; this request goes into the
 			// next write.
