Name the status that the report of a wave replaces

The status of a wave was written without a condition on the one before, so that a late "running" could replace "completed". A plan for a machine of a standby pool that is stored late, after another one has moved the machine, was ordered by a new owner of the fleet before it had a list that shows the worker there.

Both writes of the status name the revision that they replace and are not sent after the end of the ownership; a conflict states the present revision, also of a status that can't be read. Moves wait for a list of the present ownership, as maintenance does.

TestWaveStatusNamesTheOneThatItReplaces and TestMoveWaitsForAListOfThePresentOwnership failed before; TestWaveGoesOnWhateverStatusIsStored guards the other side.

--- a/entry/systems.go
+++ b/entry/systems.go
@@ -234,7 +234,8 @@
 		}
 	case platform.EntryWaveStatus:
 		if number, err := strconv.Atoi(e.Name); err == nil && !e.Deleted {
-			s.Machines.ApplyWaveStatus(tick.Now, number, e.Completed)
+			key := ledger.Key{Kind: ledger.KindWaveStatus, Name: e.Name}
+			s.Machines.ApplyWaveStatus(tick.Now, number, ledger.Record{Key: key, Content: e.Completed, Revision: e.Revision})
 		}
 	case platform.EntryRecord:
 		record, err := recordFromItem(e.Name, e.Record, e.Revision, e.CreateRevision, e.Deleted)
--- a/machines/choose.go
+++ b/machines/choose.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/waxwingbridge/waxwingbridge/engine"
@@ -131,9 +130,10 @@
 	if len(machines) == 0 {
 		return
 	}
-	write := ledger.Write{ID: s.NextWrite(), Expect: []ledger.Condition{s.fenceCondition()}}
+	write := ledger.Write{ID: s.NextWrite(), NotAfter: s.Ownership.ValidUntil, Expect: []ledger.Condition{s.fenceCondition()}}
 	if w.Status == WaveStatusNone {
-		write.Put = append(write.Put, ledger.Put{Key: ledger.Key{Kind: ledger.KindWaveStatus, Name: strconv.Itoa(w.Number)}, Content: false})
+		write.Expect = append(write.Expect, w.statusCondition())
+		write.Put = append(write.Put, ledger.Put{Key: w.statusKey(), Content: false})
 	}
 	for _, m := range machines {
 		key := ledger.Key{Kind: ledger.KindMachineOrder, Name: m.Name}
--- a/machines/moves.go
+++ b/machines/moves.go
@@ -320,7 +320,7 @@
 
 // orderMoves orders the planned moves of machines on which nothing runs.
 func orderMoves(s *State, tick engine.Tick) {
-	if !s.ownsFleet(tick.Now) {
+	if !s.ownsFleet(tick.Now) || !s.hasCurrentList() { // the list shows whether a plan that was stored late still holds
 		return
 	}
 	for id, o := range s.Orders.All() {
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -44,13 +44,16 @@
 // Wave is a maintenance wave that the operator requested.
 type Wave struct {
 	work.Wave
-	ReceivedAt   time.Time
-	AgeKnown     bool // received as a change, and not with a full read of the store
-	Status       WaveStatus
-	writeID      uint64               // write in flight, or 0
-	chosenOrders []*work.MachineOrder // orders in the write
-	retryAt      time.Time
-	completing   bool // the write reports the wave as completed
+	ReceivedAt time.Time
+	AgeKnown   bool // received as a change, and not with a full read of the store
+	Status     WaveStatus
+	// statusRevision is that of the stored status, 0 without one, and statusSeen the highest
+	// revision at which it was seen to have changed.
+	statusRevision, statusSeen int64
+	writeID                    uint64               // write in flight, or 0
+	chosenOrders               []*work.MachineOrder // orders in the write
+	retryAt                    time.Time
+	completing                 bool // the write reports the wave as completed
 }
 
 // WaveStatus is the status of a wave that was last reported to the operator.
@@ -175,20 +178,48 @@
 		events.F("cap", wave.Cap), events.F("within_s", wave.Within.Seconds()))
 }
 
-// ApplyWaveStatus records the stored status of a wave.
-func (s *State) ApplyWaveStatus(now time.Time, number int, completed bool) {
-	s.changes++
+// ApplyWaveStatus records the stored status of a wave. Changes that are not newer are ignored.
+func (s *State) ApplyWaveStatus(now time.Time, number int, record ledger.Record) {
 	id, ok := s.waveByNumber.Get(number)
 	if !ok {
+		if record.Deleted {
+			return
+		}
 		id = s.Waves.Insert(Wave{Wave: work.Wave{Number: number}, ReceivedAt: now})
 		s.waveByNumber.Put(number, id)
 	}
-	s.Waves.Get(id).Status = WaveStatusRunning
-	if completed {
-		s.Waves.Get(id).Status = WaveStatusCompleted
+	w := s.Waves.Get(id)
+	switch {
+	case record.Deleted && record.Revision == 0: // a conflict doesn't tell when it was deleted
+		w.statusRevision = 0
+		return
+	case record.Revision <= w.statusSeen:
+		return
+	}
+	s.changes++
+	w.statusRevision, w.statusSeen = record.Revision, record.Revision
+	completed, readable := record.Content.(bool)
+	switch {
+	case record.Deleted: // the wave goes on as this process knows it
+		w.statusRevision = 0
+	case !readable:
+	case completed:
+		w.Status = WaveStatusCompleted
+	default:
+		w.Status = WaveStatusRunning
 	}
 }
 
+// statusKey returns the key of the status that is reported to the operator.
+func (w *Wave) statusKey() ledger.Key {
+	return ledger.Key{Kind: ledger.KindWaveStatus, Name: strconv.Itoa(w.Number)}
+}
+
+// statusCondition keeps a status that is stored late from replacing a newer one.
+func (w *Wave) statusCondition() ledger.Condition {
+	return ledger.Condition{Key: w.statusKey(), Revision: w.statusRevision}
+}
+
 // Changes returns a number that rises whenever WorkersUnderOrder or MaintenanceDue may
 // have changed.
 func (s *State) Changes() uint64 { return s.changes }
@@ -329,8 +360,8 @@
 			continue
 		}
 		write := ledger.Write{
-			ID: s.NextWrite(), Expect: []ledger.Condition{s.fenceCondition()},
-			Put: []ledger.Put{{Key: ledger.Key{Kind: ledger.KindWaveStatus, Name: strconv.Itoa(w.Number)}, Content: true}},
+			ID: s.NextWrite(), NotAfter: s.Ownership.ValidUntil, Expect: []ledger.Condition{s.fenceCondition(), w.statusCondition()},
+			Put: []ledger.Put{{Key: w.statusKey(), Content: true}},
 		}
 		w.writeID, w.completing = write.ID, true
 		s.log(events.MaintenanceWaveDone, events.F("wave", w.Number), events.F("after_ms", tick.Now.Sub(w.ReceivedAt).Milliseconds()))
@@ -386,11 +417,10 @@
 		for _, order := range chosen {
 			s.ApplyOrder(tick.Now, ledger.Record{Key: orderKey(order), Content: order, Revision: result.Revision})
 		}
-		s.changes++
-		w.Status = WaveStatusRunning
-		if w.completing {
-			w.Status = WaveStatusCompleted
+		if w.Status == WaveStatusNone || w.completing {
+			s.ApplyWaveStatus(tick.Now, w.Number, ledger.Record{Key: w.statusKey(), Content: w.completing, Revision: result.Revision})
 		}
+		w.completing = false
 		return true
 	}
 	for _, o := range s.Orders.All() {
@@ -421,6 +451,10 @@
 			s.ApplyOrder(now, record)
 		case ledger.KindDemand:
 			s.ApplyDemand(now, record)
+		case ledger.KindWaveStatus:
+			if number, err := strconv.Atoi(record.Key.Name); err == nil {
+				s.ApplyWaveStatus(now, number, record)
+			}
 		}
 	}
 }
