Name the record that the advertisement of a process replaces

The record of a process was written without a condition. A late write of an earlier process of the machine, whose lease has not ended yet, replaced that of its successor and vanished with the lease.

It is now conditional on the revision that the process knows of, and repeated at once after a conflict, which states the present one.

TestLateAdvertisementReplacesNoLaterOne failed before; TestProcessAdvertisesWhateverIsStored guards the other side.

--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -268,10 +268,53 @@
 		return
 	}
 	s.advertiseWrite = s.NextWrite()
-	s.Writes.Add(ledger.Write{ID: s.advertiseWrite, NotAfter: s.LeaseValidUntil, Put: []ledger.Put{{
-		Key: ledger.Key{Kind: ledger.KindPeer, Name: s.Node}, Leased: true,
-		Content: &work.Ownership{Node: s.Node, Incarnation: s.Incarnation, Millicores: s.Millicores},
-	}}})
+	key := ledger.Key{Kind: ledger.KindPeer, Name: s.Node}
+	s.Writes.Add(ledger.Write{
+		ID: s.advertiseWrite, NotAfter: s.LeaseValidUntil,
+		Expect: []ledger.Condition{{Key: key, Revision: s.ownRecordRevision()}}, // a late write of an earlier process replaces nothing
+		Put: []ledger.Put{{
+			Key: key, Leased: true, Content: &work.Ownership{Node: s.Node, Incarnation: s.Incarnation, Millicores: s.Millicores},
+		}},
+	})
+}
+
+// ownRecordRevision returns the revision of the record that advertises this machine, or 0.
+func (s *State) ownRecordRevision() int64 {
+	if id, ok := s.peerByName.Get(s.Node); ok {
+		return s.Peers.Get(id).Revision
+	}
+	return 0
+}
+
+// advertiseAnswered records the result of advertising the process. After a conflict it is
+// repeated at once, since the answer states the present revision.
+func (s *State) advertiseAnswered(now time.Time, result ledger.WriteResult) {
+	s.advertiseWrite = 0
+	s.advertised = result.Outcome == ledger.Applied
+	key := ledger.Key{Kind: ledger.KindPeer, Name: s.Node}
+	switch result.Outcome {
+	case ledger.Applied:
+		s.applyPeer(ledger.Record{Key: key, Revision: result.Revision}, &work.Ownership{Millicores: s.Millicores})
+		return
+	case ledger.Conflict:
+	default:
+		s.retryAt = now.Add(retryDelay)
+	}
+	before := s.ownRecordRevision()
+	for _, record := range result.Current {
+		if record.Key != key {
+			continue
+		}
+		if id, known := s.peerByName.Get(s.Node); known && record.Deleted && record.Revision == 0 { // a conflict doesn't tell when it was deleted
+			s.peerByName.Delete(s.Node)
+			s.Peers.Delete(id)
+			continue
+		}
+		s.Apply(now, record)
+	}
+	if s.ownRecordRevision() == before {
+		s.retryAt = now.Add(retryDelay)
+	}
 }
 
 func claimDuties(s *State, tick engine.Tick) {
@@ -359,11 +402,7 @@
 // the write.
 func (s *State) WriteDone(now time.Time, result ledger.WriteResult) bool {
 	if result.ID == s.advertiseWrite && result.ID != 0 {
-		s.advertiseWrite = 0
-		s.advertised = result.Outcome == ledger.Applied
-		if !s.advertised {
-			s.retryAt = now.Add(retryDelay)
-		}
+		s.advertiseAnswered(now, result)
 		return true
 	}
 	for _, d := range s.Duties.All() {
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -100,7 +100,7 @@
 			current.Revision = 0
 		}
 		if current.Revision != condition.Revision {
-			result.Outcome = ledger.Conflict
+			result.Outcome, result.Current = ledger.Conflict, []ledger.Record{{Key: condition.Key, Content: current.Content, Revision: current.Revision, Deleted: current.Revision == 0}}
 			s.WriteDone(c.now, result)
 			return
 		}
@@ -260,3 +260,51 @@
 		t.Error("the late result of a claim revives a deleted owner record")
 	}
 }
+
+// Guards against an advertisement of an earlier process that is stored late: it would replace
+// that of the present process and vanish with the earlier lease.
+func TestLateAdvertisementReplacesNoLaterOne(t *testing.T) {
+	c := newCluster(t, []string{"a"}, "n1")
+	earlier := c.states["n1"]
+	maintainLease(earlier, engine.Tick{Now: c.now})
+	earlier.LeaseCalls.Drain(func(call LeaseCall) { c.answerLeaseCall(earlier, call) })
+	advertise(earlier, engine.Tick{Now: c.now})
+	var late ledger.Write
+	earlier.Writes.Drain(func(w ledger.Write) { late = w })
+	next := &State{Node: "n1", Incarnation: "2", Millicores: 400, NextWrite: earlier.NextWrite}
+	next.SetRequired(c.now, []string{"a"})
+	next.MarkSynced(c.now)
+	c.states["n1"] = next
+	c.run(time.Second)
+	c.commit(earlier, late)
+	key := ledger.Key{Kind: ledger.KindPeer, Name: "n1"}
+	if owner, _ := c.records[key].Content.(*work.Ownership); owner == nil || owner.Incarnation != "2" {
+		t.Errorf("the process is advertised as %+v, want incarnation 2", owner)
+	}
+}
+
+// Guards against a process that never claims a duty since it can't advertise itself: a record of
+// an earlier process that it hasn't read is stored, or its own view of that record is out of date.
+func TestProcessAdvertisesWhateverIsStored(t *testing.T) {
+	key := ledger.Key{Kind: ledger.KindPeer, Name: "n1"}
+	for name, c := range map[string]struct{ stored, known bool }{
+		"unread record":       {stored: true},
+		"record that is gone": {known: true},
+		"unreadable record":   {stored: true, known: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cluster := newCluster(t, []string{"a"}, "n1")
+			cluster.revision = 10
+			if c.known {
+				cluster.states["n1"].Apply(cluster.now, ledger.Record{Key: key, Content: &work.Ownership{Node: "n1"}, Revision: 5})
+			}
+			if c.stored {
+				cluster.records[key] = ledger.Record{Key: key, Revision: 7}
+			}
+			cluster.run(2 * time.Second)
+			if owner, _ := cluster.records[key].Content.(*work.Ownership); owner == nil || owner.Incarnation != "1" {
+				t.Errorf("the process is advertised as %+v", owner)
+			}
+		})
+	}
+}
