--- a/dispatch/obstacles.go
+++ b/dispatch/obstacles.go
@@ -123,7 +123,8 @@
 	}
 }
 
-// logIfHeldUp reports whether the stage has been logged as held up.
+// logIfHeldUp logs the stage if it is held up although workers have room for it, and reports
+// whether it is.
 func (s *State) logIfHeldUp(now time.Time, poolID, stageID table.ID) bool {
 	p, stage := s.Pools.Get(poolID), s.Stages.Get(stageID)
 	j := s.Jobs.Get(stage.Job)
@@ -133,22 +134,7 @@
 		return false
 	}
 	t := s.Tasks.Get(stage.Tasks[at])
-	withRoom, counts := 0, [obstacleCount]int{}
-	for id, w := range s.workersOf(poolID) {
-		c := s.newCandidate(now, id, w)
-		if !w.Listed || !step.Reserved().Fits(c.free) {
-			continue
-		}
-		withRoom++
-		o := s.workerObstacle(now, id, w)
-		if o == noObstacle {
-			o = s.constraint(now, &c, stage, step, t, "")
-		}
-		if o == noObstacle && !s.mayStartOn(now, j, stage, w) {
-			o = obstacleNoTicket
-		}
-		counts[o]++
-	}
+	counts, withRoom := s.countObstacles(now, poolID, stage, t)
 	if withRoom == 0 {
 		return false
 	}
@@ -166,3 +152,26 @@
 	s.log(events.StageHeldUp, fields...)
 	return true
 }
+
+// countObstacles counts the listed workers of a pool that have room for a task, by what keeps
+// the task off them.
+func (s *State) countObstacles(now time.Time, poolID table.ID, stage *Stage, t *Task) (counts [obstacleCount]int, withRoom int) {
+	j := s.Jobs.Get(stage.Job)
+	step := &j.Spec.Steps[stage.Step]
+	for id, w := range s.workersOf(poolID) {
+		c := s.newCandidate(now, id, w)
+		if !w.Listed || !step.Reserved().Fits(c.free) {
+			continue
+		}
+		withRoom++
+		o := s.workerObstacle(now, id, w)
+		if o == noObstacle {
+			o = s.constraint(now, &c, stage, step, t, "")
+		}
+		if o == noObstacle && !s.mayStartOn(now, j, stage, w) {
+			o = obstacleNoTicket
+		}
+		counts[o]++
+	}
+	return counts, withRoom
+}
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -51,7 +51,7 @@
 	// reclaimed are the workers that it takes back. No move was planned for their machines
 	// when it is stored.
 	reclaimed []table.ID
-	inFlight  bool
+	inFlight  bool // its call has not ended
 }
 
 // storedReport is the stored report of a pool, as far as this process knows.
