--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -30,13 +30,13 @@
 			}},
 		}},
 		{Key: ledger.Key{Kind: ledger.KindProgress, Name: "j"}, Content: &work.Progress{State: work.JobRunning, Stages: []work.StageProgress{
-			{Occurrence: 1, Step: 2, Done: []byte{5}, Failed: []work.TaskRuns{{Index: 1, Runs: []int{2, 3}}}, Crashed: []work.TaskCrashes{{Index: 0, Runs: []int{4}, Early: 1, Running: 5}}},
+			{Occurrence: 1, Step: 2, Done: []byte{5}, Failed: []work.TaskRuns{{Index: 1, Runs: []int{2, 3}}}, Crashed: []work.TaskCrashes{{Index: 0, Runs: []int{4, 6}, Early: 1, Late: 1, Running: 5}}},
 		}}},
 		{Key: ledger.Key{Kind: ledger.KindOwner, Name: "p"}, Content: &work.Ownership{Node: "n", Incarnation: "i", Epoch: 3}},
 		{Key: ledger.Key{Kind: ledger.KindContacts, Name: "p"}, Content: []work.Contact{{Worker: "w", Address: "a", Incarnation: 4}}},
 		{Key: ledger.Key{Kind: ledger.KindMachineOrder, Name: "m"}, Content: &work.MachineOrder{Machine: "m", Worker: "w", Pool: "p", Wave: 1, State: work.MachineIdle}},
 		{Key: ledger.Key{Kind: ledger.KindMachineMove, Name: "m"}, Content: &work.MachineOrder{Machine: "m", Target: "t"}},
-		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "p"}, Content: &work.Demand{Need: 3, Have: 2, Released: []string{"w"}}},
+		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "p"}, Content: &work.Demand{Need: 3, Have: 2, Released: []string{"w"}, Write: 9}},
 		{Key: ledger.Key{Kind: ledger.KindDemand, Name: "q"}, Content: &work.Demand{Need: 3, Have: 2, Expected: 4, Obeyed: 7, Incomplete: true, Teams: []work.TeamDemand{
 			{Team: "a", Use: placement.Resources{MilliCores: 500, MemoryMB: 64}},
 			{Team: "b", Waiting: placement.Resources{MilliCores: 1, Accelerators: 2}, Next: placement.Resources{MilliCores: 1, Accelerators: 1}},
@@ -124,3 +124,22 @@
 		}
 	}
 }
+
+// Guards against writes that are refused for good because the item they conflict with can't be
+// read, and against an unreadable item that is taken for a deleted one.
+func TestConflictStatesTheRevisionOfAnUnreadableItem(t *testing.T) {
+	demand, status := ledger.Key{Kind: ledger.KindDemand, Name: "p"}, ledger.Key{Kind: ledger.KindWaveStatus, Name: "3"}
+	progress := ledger.Key{Kind: ledger.KindProgress, Name: "j"}
+	records, err := currentRecords([]platform.Item{
+		{Key: storeKey(demand), Value: []byte("{"), Revision: 4}, {Key: storeKey(status), Value: []byte("{"), Revision: 5},
+		{Key: storeKey(progress), Value: []byte("{"), Revision: 6}, {Key: "unknown/key", Revision: 7},
+	})
+	want := []ledger.Record{{Key: demand, Revision: 4}, {Key: status, Revision: 5}}
+	if err == nil || !reflect.DeepEqual(records, want) {
+		t.Errorf("the records are %+v and the error is %v, want %+v and an error", records, err, want)
+	}
+	missing, err := currentRecords([]platform.Item{{Key: storeKey(status)}})
+	if want := []ledger.Record{{Key: status, Deleted: true}}; err != nil || !reflect.DeepEqual(missing, want) {
+		t.Errorf("the records are %+v and the error is %v, want %+v", missing, err, want)
+	}
+}
