Probe slow workers beside runs that are not rated instead of forgiving them

Such a worker may still be slow: a probe, one start at a time and a second apart, tells. Without lasting tasks that is the rule already.

The mark of a worker without runs decays as before.

--- a/dispatch/probation_test.go
+++ b/dispatch/probation_test.go
@@ -151,8 +151,8 @@
 }
 
 // Guards against a worker that is slow for good, since it runs a task that lasts: such runs are
-// not rated, so that the mark was never forgiven and no other start could prove it wrong.
-func TestSlowMarkDecaysBesideTasksThatLast(t *testing.T) {
+// not rated, and no other start could prove the mark wrong.
+func TestSlowWorkerIsProbedBesideTasksThatLast(t *testing.T) {
 	w := newSimulation(t, "a")
 	w.runTime = 0
 	w.run(200 * time.Millisecond)
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -131,18 +131,18 @@
 }
 
 // mayProbe reports whether a start on a slow worker is due, which tells whether it still is
-// slow. Other workers may always get starts.
+// slow. Other workers may always get starts. Runs that are not rated, as those of tasks that
+// last, don't hold a probe up: they would keep the mark and all starts off for good.
 func (s *State) mayProbe(now time.Time, id table.ID, w *Worker) bool {
-	return s.slowWorkers.Len() == 0 || !s.slowWorkers.Contains(id) || len(w.runs) == 0 && !now.Before(w.nextProbeAt)
+	return s.slowWorkers.Len() == 0 || !s.slowWorkers.Contains(id) || !now.Before(w.nextProbeAt) && !slices.ContainsFunc(w.runs, s.isRated)
 }
 
-// forgiveSlowWorkers clears the marks of workers whose suspicion has decayed without runs
-// that are rated. Others, as tasks that last, would keep the mark and all starts off for good.
+// forgiveSlowWorkers clears the marks of workers whose suspicion has decayed without runs.
 func forgiveSlowWorkers(s *State, tick engine.Tick) {
 	for i := s.slowWorkers.Len() - 1; i >= 0; i-- {
 		id := s.slowWorkers.At(i)
 		s.visitedIndexed++
-		if w := s.Workers.Get(id); !slices.ContainsFunc(w.runs, s.isRated) {
+		if w := s.Workers.Get(id); len(w.runs) == 0 {
 			s.updateSlow(tick.Now, id, w, 0)
 		}
 	}
