--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -131,8 +131,10 @@
 	demand, status := ledger.Key{Kind: ledger.KindDemand, Name: "p"}, ledger.Key{Kind: ledger.KindWaveStatus, Name: "3"}
 	progress := ledger.Key{Kind: ledger.KindProgress, Name: "j"}
 	records, err := currentRecords([]platform.Item{
-		{Key: storeKey(demand), Value: []byte("{"), Revision: 4}, {Key: storeKey(status), Value: []byte("{"), Revision: 5},
-		{Key: storeKey(progress), Value: []byte("{"), Revision: 6}, {Key: "unknown/key", Revision: 7},
+		{Key: storeKey(demand), Value: []byte("{"), Revision: 4},
+		{Key: storeKey(status), Value: []byte("{"), Revision: 5},
+		{Key: storeKey(progress), Value: []byte("{"), Revision: 6},
+		{Key: "unknown/key", Revision: 7},
 	})
 	want := []ledger.Record{{Key: demand, Revision: 4}, {Key: status, Revision: 5}}
 	if err == nil || !reflect.DeepEqual(records, want) {
